--- /dev/null
+++ b/internal/controller/world_run_test.go
@@ -0,0 +1,240 @@
+package controller
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"umberpaddle/internal/config"
+	"umberpaddle/internal/fleet"
+	"umberpaddle/internal/wire"
+)
+
+func standardWorld() worldConfig {
+	return worldConfig{
+		nodes: 3,
+		teams: []config.Team{{Name: "red", CPUs: 16, CPUsMax: 40}, {Name: "blue"}},
+		types: []wire.MachineType{
+			{Name: "small", CPUs: 8, MemoryGB: 32, Price: 0.5, SpotPrice: 0.2, BootS: 5, Zones: []string{"a", "b"}},
+			{Name: "large", CPUs: 16, MemoryGB: 64, Price: 0.9, SpotPrice: 0.4, BootS: 5, Zones: []string{"a", "b"}},
+		},
+		capacity: map[fleet.Kind]int{
+			{Class: "small", Zone: "a"}: 3, {Class: "small", Zone: "b"}: 3, {Class: "small", Zone: "a", Spot: true}: 4, {Class: "small", Zone: "b", Spot: true}: 4,
+			{Class: "large", Zone: "a"}: 2, {Class: "large", Zone: "b"}: 2, {Class: "large", Zone: "a", Spot: true}: 2, {Class: "large", Zone: "b", Spot: true}: 2,
+		},
+		lease: 14, report: 1.5, cancel: 34, txnOps: 8, valueKB: 4, writeRPS: 30,
+	}
+}
+
+// randomJobs lets users submit jobs of many shapes for a while.
+func randomJobs(w *world, count int, over time.Duration) {
+	for i := 0; i < count; i++ {
+		id := fmt.Sprintf("job-%06d", i)
+		w.after(time.Duration(w.rng.Float64()*float64(over)), func() {
+			spec := map[string]any{"docket": "x", "crew": []string{"red", "blue"}[w.rng.IntN(2)], "form": "batch",
+				"urgency": []string{"urgent", "standard", "low"}[w.rng.IntN(3)], "sheets": 1 + w.rng.IntN(12),
+				"cores": []float64{1, 2, 4, 8}[w.rng.IntN(4)], "accelerators": 0.0, "ramGb": 4.0, "plate": fmt.Sprintf("img-%d", w.rng.IntN(3)), "imageGb": 1.0,
+				"builds": nil, "valley": nil, "oneZone": w.chance(0.2), "scatter": false, "loaners": w.chance(0.7),
+				"reckonS": 8.0, "markS": 0.0, "stowS": 0.0, "dueS": nil}
+			switch w.rng.IntN(6) {
+			case 0:
+				spec["builds"] = []string{"small"}
+			case 1:
+				spec["builds"] = []string{"large"}
+			case 2:
+				spec["valley"] = "b"
+			}
+			if spec["oneZone"] == false && w.chance(0.2) {
+				spec["scatter"] = true
+			}
+			j := w.user(id, spec, 2+10*w.rng.Float64())
+			if w.chance(0.15) {
+				w.after(w.between(0.5, 25), func() { w.cancel(j) })
+			} else if w.chance(0.03) {
+				j.bad = true
+				w.after(w.between(40, 60), func() { w.cancel(j) })
+			}
+		})
+	}
+	for i := 0; i < count; i++ {
+		w.after(time.Duration(w.rng.Float64()*float64(over)), w.stranger)
+	}
+}
+
+func (w *world) liveMachine() *simMachine {
+	var live []*simMachine
+	for _, id := range sortedKeys(w.machines) {
+		if m := w.machines[id]; m.up && !m.gone {
+			live = append(live, m)
+		}
+	}
+	if len(live) == 0 {
+		return nil
+	}
+	return live[w.rng.IntN(len(live))]
+}
+
+// randomFaults draws troubles, alone and together, until a time.
+func randomFaults(w *world, every float64, until time.Duration) {
+	var next func()
+	next = func() {
+		if w.now > until {
+			return
+		}
+		node := w.nodes[w.rng.IntN(len(w.nodes))]
+		m := w.liveMachine()
+		switch w.rng.IntN(13) {
+		case 0, 1:
+			node.crash(w.between(0.1, 8))
+		case 2:
+			for _, n := range w.nodes {
+				n.crash(w.between(0.1, 8))
+			}
+		case 3:
+			w.trace("outage")
+			w.store.setOutage(true)
+			w.after(w.between(1, 30), func() { w.trace("outage over"); w.store.setOutage(false) })
+		case 4:
+			w.trace("503 for %s", node.label)
+			w.store.refuse[node.idx] = true
+			w.after(w.between(1, 30), func() { w.trace("503 over"); w.store.refuse[node.idx] = false; w.store.wake() })
+		case 5, 6:
+			if m != nil {
+				m.die()
+			}
+		case 7, 8:
+			if m != nil {
+				m.hang(w.between(1, 40))
+			}
+		case 9:
+			if m != nil && m.kind.Spot {
+				m.recall = w.now + w.between(5, 15)
+				w.after(m.recall-w.now, m.die)
+			}
+		case 10:
+			if m != nil {
+				m.sick = true
+			}
+		case 11:
+			w.cloud.outage = true
+			w.after(w.between(5, 20), func() { w.cloud.outage = false })
+		case 12:
+			other := w.nodes[(node.idx+1)%len(w.nodes)].label
+			if m != nil && w.chance(0.5) {
+				other = m.id
+			}
+			w.trace("cut %s %s", node.label, other)
+			w.setCut(node.label, other, true)
+			w.after(w.between(1, 30), func() { w.trace("cut over"); w.setCut(node.label, other, false) })
+		}
+		w.after(w.between(0.5*every, 1.5*every), next)
+	}
+	w.after(w.between(5, 15), next)
+}
+
+func (w *world) mustKeepRules(t *testing.T) {
+	t.Helper()
+	for _, b := range w.broken {
+		t.Errorf("rule broken: %s", b)
+	}
+}
+
+// mustFinish checks that every job that was accepted came to its end.
+func (w *world) mustFinish(t *testing.T) {
+	t.Helper()
+	if w.starts == 0 {
+		t.Error("nothing ran")
+	}
+	for _, id := range sortedKeys(w.jobs) {
+		if j := w.jobs[id]; j.accepted && j.told == "" {
+			t.Errorf("%s is not over at the end: %d of %d tasks done", id, j.doneCount, j.tasks)
+		}
+	}
+}
+
+// The days that TestRulesHoldUnderRandomFaults plays; raise daysDrawn to hunt.
+const firstSeed, daysDrawn = uint64(1), uint64(40)
+
+func TestQuietDay(t *testing.T) {
+	w := newWorld(1, standardWorld())
+	randomJobs(w, 60, 150*time.Second)
+	w.run(300 * time.Second)
+	w.mustKeepRules(t)
+	w.mustFinish(t)
+}
+
+// TestRulesHoldUnderRandomFaults is the heart of the tests: days with drawn
+// troubles, every rule checked at every event, and all work done in the end.
+func TestRulesHoldUnderRandomFaults(t *testing.T) {
+	for seed := firstSeed; seed < firstSeed+daysDrawn; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(seed, standardWorld())
+			w.slow, w.lost = 0.002, 0.002
+			if testing.Verbose() {
+				w.trace = func(f string, a ...any) { t.Logf("%7.2f %s", w.now.Seconds(), fmt.Sprintf(f, a...)) }
+			}
+			randomJobs(w, 60, 200*time.Second)
+			randomFaults(w, []float64{20, 8, 4}[seed%3], 200*time.Second)
+			w.run(250 * time.Second)
+			w.slow, w.lost = 0, 0
+			w.run(500 * time.Second)
+			w.mustKeepRules(t)
+			w.mustFinish(t)
+		})
+	}
+}
+
+// TestBrokenCoresAreCaught shows that the checks above can fail: cores broken
+// on purpose must break the rule that the broken part guards.
+func TestBrokenCoresAreCaught(t *testing.T) {
+	cases := []struct {
+		name, rule string
+		sabotage   func(*Core)
+	}{
+		{"takeover without waiting", "ran_twice", func(c *Core) {
+			for _, j := range c.book.Open {
+				j.Frozen = false
+			}
+		}},
+		{"a team's limit ignored", "quota", func(c *Core) {
+			for i := range c.set.Cluster.Teams {
+				c.set.Cluster.Teams[i].CPUsMax = 0
+			}
+		}},
+		{"cancellations ignored", "ran_cancelled", func(c *Core) {
+			for _, j := range c.book.Open {
+				j.Cancelled = false
+			}
+		}},
+		{"a lease taken for over too early", "ran_twice", func(c *Core) { c.pool.Lease = time.Second }},
+		{"completions invented", "not_done", func(c *Core) {
+			for _, j := range c.book.Open {
+				for task, p := range j.Placed {
+					if p.State >= 3 {
+						j.MarkDone(task)
+					}
+				}
+			}
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= 30; seed++ {
+				w := newWorld(seed, standardWorld())
+				w.sabotage = tc.sabotage
+				randomJobs(w, 60, 200*time.Second)
+				randomFaults(w, 6, 200*time.Second)
+				w.run(300 * time.Second)
+				for _, b := range w.broken {
+					if strings.HasPrefix(b, tc.rule) {
+						return
+					}
+				}
+			}
+			t.Errorf("no day broke %s", tc.rule)
+		})
+	}
+}
