--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -172,6 +172,7 @@
 	c.pool = workers.New(cl.Workers.LeaseS, cl.Workers.ReportS)
 	c.fleet = fleet.New(cl.Cloud.RPS, cl.Cloud.ListLagS, hirePrefix(set.Label, random), c.log)
 	c.fleet.Gone = c.machineGone
+	c.fleet.Patience = c.pool.SilentFor()
 	return c
 }
 
--- a/internal/controller/world_run_test.go
+++ b/internal/controller/world_run_test.go
@@ -186,6 +186,41 @@
 	}
 }
 
+// TestTakeoverKeepsMachines guards against a new owner that gives up machines
+// older than their boot time before they could report to it: on the bench half
+// of the running machines went that way with every controller that ended.
+func TestTakeoverKeepsMachines(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		w := newWorld(seed, standardWorld())
+		for i := 0; i < 12; i++ {
+			w.user(fmt.Sprintf("job-%06d", i), map[string]any{"docket": "x", "crew": "blue", "form": "batch", "urgency": "standard",
+				"sheets": 8, "cores": 4.0, "accelerators": 0.0, "ramGb": 4.0, "loaners": true, "reckonS": 90.0}, 90)
+		}
+		w.run(60 * time.Second)
+		before := map[string]bool{}
+		for id, m := range w.machines {
+			if m.up && !m.gone && len(m.tasks) > 0 {
+				before[id] = true
+			}
+		}
+		if len(before) < 5 {
+			t.Fatalf("only %d machines are busy", len(before))
+		}
+		for _, n := range w.nodes {
+			if n.core != nil && len(n.core.active) > 0 {
+				n.crash(3 * time.Second)
+			}
+		}
+		w.run(75 * time.Second)
+		w.mustKeepRules(t)
+		for id := range before {
+			if w.machines[id].gone {
+				t.Errorf("seed %d: %s was given up", seed, id)
+			}
+		}
+	}
+}
+
 // TestBrokenCoresAreCaught shows that the checks above can fail: cores broken
 // on purpose must break the rule that the broken part guards.
 func TestBrokenCoresAreCaught(t *testing.T) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -33,6 +33,7 @@
 	ID      string
 	Kind    Kind
 	Since   time.Duration // when it was rented, on our steady clock
+	Known   time.Duration // when this process began to wait for its reports
 	Listed  string        // its status when last listed
 	SeenAt  time.Duration // when it was last listed
 	Up      bool          // its worker has reported
@@ -56,6 +57,9 @@
 	pause   time.Duration
 	listLag time.Duration
 
+	// Patience is how long a machine that this process has just learned of may
+	// take to report.
+	Patience time.Duration
 	Types    map[string]*wire.MachineType
 	Rentals  map[string]*Rental
 	backoff  map[Kind]time.Duration
@@ -79,7 +83,8 @@
 // New makes a manager. prefix starts the names of all its rental requests and
 // must never be used by any other life of any node.
 func New(rps, listLagS float64, prefix string, log func(string, string, ...any)) *Manager {
-	return &Manager{log: log, rate: rps * limits.CloudBudget, prefix: prefix, listLag: time.Duration(listLagS * float64(time.Second)),
+	// One call is due at once: without the machine types a node takes no jobs.
+	return &Manager{level: 1, log: log, rate: rps * limits.CloudBudget, prefix: prefix, listLag: time.Duration(listLagS * float64(time.Second)),
 		calls: map[uint64]func(int, []byte){}, Types: map[string]*wire.MachineType{}, Rentals: map[string]*Rental{},
 		backoff: map[Kind]time.Duration{}, hiring: map[Kind]int{}, unsure: map[Kind]*hire{}, gone: map[string]time.Duration{}}
 }
@@ -102,7 +107,7 @@
 func (f *Manager) Know(id string, k Kind, since time.Duration) *Rental {
 	r := f.Rentals[id]
 	if r == nil && !f.IsGone(id) {
-		r = &Rental{ID: id, Kind: k, Since: since}
+		r = &Rental{ID: id, Kind: k, Since: since, Known: f.now}
 		f.Rentals[id] = r
 	}
 	return r
@@ -362,7 +367,9 @@
 		}
 		if t := f.Types[r.Kind.Class]; t != nil && !r.Up {
 			boot := time.Duration(t.BootS * limits.BootFactor * float64(time.Second))
-			if f.now-r.Since > boot+limits.BootSlack {
+			// Known guards against a takeover that returns running machines
+			// only because they have not reported to the new owner yet.
+			if f.now-r.Since > boot+limits.BootSlack && f.now-r.Known > f.Patience {
 				f.Delete(r.ID, "never came up")
 			}
 		}
