--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,10 +34,12 @@
 
 // Cluster holds what all controllers share.
 type Cluster struct {
-	Size    int      `json:"size"`
-	Zones   []string `json:"zones"`
-	Teams   []Team   `json:"teams"`
-	Workers struct {
+	Size  int      `json:"size"`
+	Zones []string `json:"zones"`
+	Teams []Team   `json:"teams"`
+
+	Objectives []Objective `json:"objectives"`
+	Workers    struct {
 		ReportS float64 `json:"report_s"`
 		LeaseS  float64 `json:"lease_s"`
 		CancelS float64 `json:"cancel_s"`
@@ -60,6 +62,14 @@
 	ClockErrorMs float64 `json:"clock_error_ms"`
 }
 
+// Objective is an aim that the users stated for a class of jobs.
+type Objective struct {
+	Kind    string  `json:"kind"` // finished, deadline; others are ignored
+	Class   string  `json:"class"`
+	WithinS float64 `json:"within_s"`
+	Times   float64 `json:"times"`
+}
+
 // Team has a guarantee and a limit; 0 means none of either.
 type Team struct {
 	Name    string  `json:"name"`
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"math"
 	"sort"
 
 	"umberpaddle/internal/allocation"
@@ -25,20 +26,62 @@
 	return c.active[class]<<limits.AttemptBits | c.counter&(1<<limits.AttemptBits-1)
 }
 
-// due is when a job should be complete; without a deadline its age counts.
-func due(j *jobs.Job) float64 {
-	if j.DeadlineS > 0 {
-		return j.SubmitUnix + j.DeadlineS
+// targets lists the times after its submission at which a job should be
+// complete, soonest first: its deadline, in the multiples that the objectives
+// name, or what they say of its class.
+func (c *Core) targets(j *jobs.Job) []float64 {
+	var list []float64
+	for _, o := range c.set.Cluster.Objectives {
+		switch {
+		case o.Class != j.Class:
+		case o.Kind == "finished" && o.WithinS > 0:
+			list = append(list, o.WithinS)
+		case o.Kind == "deadline" && o.Times > 0 && j.DeadlineS > 0:
+			list = append(list, o.Times*j.DeadlineS)
+		}
+	}
+	if len(list) == 0 && j.DeadlineS > 0 {
+		list = append(list, j.DeadlineS)
+	}
+	sort.Float64s(list)
+	return list
+}
+
+// left returns the seconds until the job's soonest target that it can still
+// meet, and whether there is one; a job without targets always has one.
+func (c *Core) left(j *jobs.Job) (float64, bool) {
+	targets := c.targets(j)
+	if len(targets) == 0 {
+		return math.Inf(1), true
+	}
+	age := c.age(j.SubmitUnix).Seconds()
+	for _, t := range targets {
+		if age+limits.HopefulPart*j.EstimateS <= t {
+			return t - age, true
+		}
 	}
-	return j.SubmitUnix
+	return 0, false
+}
+
+// work is what a job has left, in CPU seconds by its owner's estimate.
+func work(j *jobs.Job) float64 {
+	return float64(j.Tasks-j.DoneCount) * max(j.EstimateS, 1) * max(j.CPUs, 1)
 }
 
-// sortedJobs lists the active jobs: by urgency, then deadline or age.
+// sortedJobs lists the active jobs: by urgency; then those that can still meet
+// a target before those that can't; then the least work left, since a target
+// met is a job, whatever its size.
 func (c *Core) sortedJobs() []*jobs.Job {
-	var list []*jobs.Job
+	type ranked struct {
+		*jobs.Job
+		hopeful bool
+		work    float64
+	}
+	var list []ranked
 	for _, j := range c.book.Open {
 		if j.Active {
-			list = append(list, j)
+			_, hopeful := c.left(j)
+			list = append(list, ranked{j, hopeful, work(j)})
 		}
 	}
 	sort.Slice(list, func(a, b int) bool {
@@ -46,12 +89,19 @@
 		if x.Urgency != y.Urgency {
 			return x.Urgency > y.Urgency
 		}
-		if dx, dy := due(x), due(y); dx != dy {
-			return dx < dy
+		if x.hopeful != y.hopeful {
+			return x.hopeful
+		}
+		if x.work != y.work {
+			return x.work < y.work
 		}
 		return x.ID < y.ID
 	})
-	return list
+	out := make([]*jobs.Job, len(list))
+	for i := range list {
+		out[i] = list[i].Job
+	}
+	return out
 }
 
 // view builds the allocation's input: room from reports, amounts booked, and
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -158,6 +158,14 @@
 	DrainSpare = 2 * time.Second
 )
 
+// The order of work.
+const (
+	// HopefulPart of its estimate is the least that a task is reckoned to run
+	// when it is asked whether a job can still meet a target: estimates are
+	// often wrong by half.
+	HopefulPart = 0.6
+)
+
 // The process.
 const (
 	// TickEvery is the pace of the event loop's own work.
