--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sort"
+	"time"
 
 	"umberpaddle/internal/allocation"
 	"umberpaddle/internal/fleet"
@@ -112,7 +113,10 @@
 	var machines []*allocation.Machine
 	capacity := map[string]allocation.Res{}
 	var unseen allocation.Res // room of machines whose tasks are unknown
-	for _, m := range c.pool.Sorted() {
+	sorted := c.pool.Sorted()
+	// Cheap machines first, so that the dear ones run empty and can go.
+	sort.SliceStable(sorted, func(a, b int) bool { return sorted[a].Spot && !sorted[b].Spot })
+	for _, m := range sorted {
 		mt := c.fleet.Types[m.Class]
 		if mt == nil {
 			continue
@@ -262,6 +266,7 @@
 	c.returnIdle(used)
 	want := map[fleet.Kind]int{}
 	var fresh []*allocation.Machine
+	extra := c.shortage(machines)
 	for _, at := range teams {
 		total := at.Unknown
 		for _, b := range at.Booked {
@@ -275,7 +280,7 @@
 				if (at.MaxCPUs > 0 && total.CPUs+u.Need.CPUs > at.MaxCPUs) || (at.MaxGPUs > 0 && total.GPUs+u.Need.GPUs > at.MaxGPUs) {
 					break
 				}
-				if !c.fitFresh(u, &fresh, want) {
+				if !c.fitFresh(u, extra[u.Job], &fresh, want) {
 					break
 				}
 				total = total.Add(u.Need, 1)
@@ -294,9 +299,53 @@
 	}
 }
 
+// lack is how many CPUs more than there are a job's work and all work before it
+// call for: to be comfortably in time, and to be in time at all.
+type lack struct{ easy, tight float64 }
+
+// shortage reckons what each job lacks. It treats the work as a fluid: with C
+// CPUs now and C' more after the boot time, C*T + C'*(T-boot) is done in time T.
+// So a burst of short tasks does not rent a machine for each of them.
+func (c *Core) shortage(machines []*allocation.Machine) map[string]lack {
+	out := map[string]lack{}
+	before := 0.0
+	for _, j := range c.sortedJobs() {
+		if j.Cancelled || j.Faulty() {
+			continue
+		}
+		before += work(j)
+		have, boot := 0.0, math.Inf(1)
+		for _, m := range machines {
+			if contains(j.Types, m.Class) && (j.Spot || !m.Spot) {
+				have += c.fleet.Types[m.Class].CPUs
+			}
+		}
+		for _, class := range j.Types {
+			if t := c.fleet.Types[class]; t != nil {
+				boot = min(boot, t.BootS)
+			}
+		}
+		left, hopeful := c.left(j)
+		if !hopeful || math.IsInf(left, 1) {
+			left = limits.RentHorizon.Seconds()
+		}
+		more := func(part float64) float64 {
+			t := max(left*part-j.EstimateS/2, boot+limits.RentLeast.Seconds())
+			return (before - have*t) / (t - boot)
+		}
+		out[j.ID] = lack{easy: more(limits.EasyPart), tight: more(limits.TightPart)}
+	}
+	return out
+}
+
 // fitFresh puts a unit on a machine still to be rented, adding the cheapest
-// suitable one if need be.
-func (c *Core) fitFresh(u *allocation.Unit, fresh *[]*allocation.Machine, want map[fleet.Kind]int) bool {
+// suitable one if the job lacks that much: cheap machines so that it is easily
+// in time, dear ones only so that it is in time.
+func (c *Core) fitFresh(u *allocation.Unit, l lack, fresh *[]*allocation.Machine, want map[fleet.Kind]int) bool {
+	rented := 0.0
+	for _, m := range *fresh {
+		rented += c.fleet.Types[m.Class].CPUs
+	}
 	for _, m := range *fresh {
 		if u.Need.Fits(m.Free) && u.Classes[m.Class] && (!m.Spot || u.Spot) && (u.Zone == "" || u.Zone == m.Zone) {
 			m.Free = m.Free.Add(u.Need, -1)
@@ -317,7 +366,10 @@
 			}
 			for _, spot := range []bool{true, false} {
 				k := fleet.Kind{Class: class, Zone: z, Spot: spot}
-				if spot && !u.Spot || !c.fleet.Hirable(k) {
+				if spot && (!u.Spot || !c.ops.Spot()) || !c.fleet.Hirable(k) {
+					continue
+				}
+				if rented >= l.easy || (!spot && u.Spot && rented >= l.tight) {
 					continue
 				}
 				if p := c.fleet.Price(k) / float64(per); best.Class == "" || p < cost {
@@ -363,7 +415,14 @@
 		if r.Idle == 0 {
 			r.Idle = t
 		}
-		if t-r.Idle > limits.IdleReturn && t-r.Since > limits.MinCharge {
+		wait := limits.IdleReturn
+		if c.ops.IdleReturnS > 0 {
+			wait = time.Duration(c.ops.IdleReturnS * float64(time.Second))
+		}
+		if !m.Spot {
+			wait = min(wait, limits.IdleReturnDear)
+		}
+		if t-r.Idle > wait && t-r.Since > limits.MinCharge {
 			c.remove(m, "idle")
 		}
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -119,6 +119,19 @@
 	BootSlack = 10 * time.Second
 	// IdleReturn is how long a machine is idle before it is returned.
 	IdleReturn = 30 * time.Second
+	// IdleReturnDear is the same for an ordinary machine, which costs about twice
+	// as much as a spot machine to keep.
+	IdleReturnDear = 10 * time.Second
+	// RentHorizon is within what time work without a target, or past all of
+	// them, should be done: a machine is paid for a minute in any case.
+	RentHorizon = 60 * time.Second
+	// RentLeast is the least useful time that a machine is rented for.
+	RentLeast = 15 * time.Second
+	// EasyPart and TightPart of the time left until a job's target are what its
+	// work may take before spot, or ordinary, machines are rented for it. The
+	// rest is for wrong estimates and failures.
+	EasyPart  = 0.5
+	TightPart = 0.8
 	// MinCharge is the least time that the cloud charges for.
 	MinCharge = 60 * time.Second
 	// HireBackoff spaces rental requests after a refusal of the same kind.
