--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -121,7 +121,7 @@
 	IdleReturn = 30 * time.Second
 	// IdleReturnDear is the same for an ordinary machine, which costs about twice
 	// as much as a spot machine to keep.
-	IdleReturnDear = 10 * time.Second
+	IdleReturnDear = 30 * time.Second
 	// RentHorizon is within what time work without a target, or past all of
 	// them, should be done: a machine is paid for a minute in any case.
 	RentHorizon = 60 * time.Second
