A machine on its way no longer holds up a takeover; shorter state lease

The roster now tells machines on their way from those that may have got tasks. A machine that does not find the new owner with the others goes sooner, and the state lease is 3 s.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -116,6 +116,9 @@
 	Zone  string  `msgpack:"z"`
 	Spot  bool    `msgpack:"s,omitempty"`
 	At    float64 `msgpack:"at"` // time of day of the rental
+	// Up: it has reported and may have got tasks. Without it the machine is on
+	// its way: a takeover need not wait for it.
+	Up bool `msgpack:"u,omitempty"`
 }
 
 // spot is a task's place as seen from its machine.
@@ -150,13 +153,14 @@
 	nextPlan   time.Duration
 	told       map[string][2]int
 	typesSaved map[string]bool
+	waiting    map[string]bool // classes taken over with machines still unresolved
 }
 
 // NewCore makes the state machine. random names this life of the process.
 func NewCore(set *config.Settings, ops *config.Operator, now Now, random uint64) *Core {
 	c := &Core{set: set, ops: ops, now: now, teams: map[string]*config.Team{},
 		active: map[string]uint64{}, on: map[string]map[string]placed{}, roster: map[string]rosterEntry{},
-		writing: map[string]bool{}, told: map[string][2]int{}, typesSaved: map[string]bool{}}
+		writing: map[string]bool{}, told: map[string][2]int{}, typesSaved: map[string]bool{}, waiting: map[string]bool{}}
 	for i := range set.Cluster.Teams {
 		c.teams[set.Cluster.Teams[i].Name] = &set.Cluster.Teams[i]
 	}
@@ -309,10 +313,13 @@
 			continue
 		}
 		c.active[class] = cl.Term
+		c.waiting[class] = true
 		c.dirty = true
 		for id, e := range c.roster {
 			if e.Class == class {
-				c.pool.Expect(id, e.Class, e.Zone, e.Spot, cl.Since)
+				if e.Up {
+					c.pool.Expect(id, e.Class, e.Zone, e.Spot, cl.Since)
+				}
 				c.fleet.Know(id, fleet.Kind{Class: e.Class, Zone: e.Zone, Spot: e.Spot}, c.now.Steady-c.age(e.At))
 			}
 		}
@@ -357,7 +364,7 @@
 	}
 	unresolved := map[string]bool{}
 	for id, m := range c.pool.Machines {
-		if _, listed := c.roster[id]; listed && !m.Resolved() {
+		if c.roster[id].Up && !m.Resolved() {
 			unresolved[m.Class] = true
 		}
 	}
@@ -382,6 +389,12 @@
 		}
 		j.Frozen = frozen
 	}
+	for class := range c.waiting {
+		if !unresolved[class] {
+			delete(c.waiting, class)
+			c.log("info", "every machine of the class accounted for", "class", class, "term", c.active[class])
+		}
+	}
 }
 
 func (c *Core) applyRoster(ch statestore.Change) {
@@ -430,13 +443,13 @@
 		return true
 	}
 	for _, m := range c.pool.Sorted() {
-		if _, listed := c.roster[m.ID]; !listed && !m.Deleting && m.Adopted {
+		if !c.roster[m.ID].Up && !m.Deleting && m.Adopted {
 			key := keyRoster + m.ID
 			at := c.now.Unix
 			if r := c.fleet.Rentals[m.ID]; r != nil {
 				at -= (c.now.Steady - r.Since).Seconds()
 			}
-			add(m.Class, key, wire.Op{Key: key, Value: rosterEntry{m.Class, m.Zone, m.Spot, at}})
+			add(m.Class, key, wire.Op{Key: key, Value: rosterEntry{m.Class, m.Zone, m.Spot, at, true}})
 		}
 	}
 	ids := make([]string, 0, len(c.fleet.Rentals))
@@ -453,7 +466,7 @@
 			// Booting: a successor then knows what is on its way before the
 			// lists do, and rents nothing twice.
 			key := keyRoster + id
-			add(r.Kind.Class, key, wire.Op{Key: key, Value: rosterEntry{r.Kind.Class, r.Kind.Zone, r.Kind.Spot, c.now.Unix - (c.now.Steady - r.Since).Seconds()}})
+			add(r.Kind.Class, key, wire.Op{Key: key, Value: rosterEntry{r.Kind.Class, r.Kind.Zone, r.Kind.Spot, c.now.Unix - (c.now.Steady - r.Since).Seconds(), false}})
 		}
 	}
 	for id, e := range c.roster {
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -236,10 +236,8 @@
 			c.log("info", "machine's lease is over", "machine", m.ID, "tasks", len(c.on[m.ID]))
 			c.clearMachine(m.ID)
 		}
-		// Silent while others report: a deletion proves it empty sooner than
-		// its lease would. Not when all are silent: then the fault is ours.
-		if t-m.Heard > c.pool.SilentFor() && t-heard < 2*c.pool.Report && c.own.MayLaunch() {
-			if r := c.fleet.Know(m.ID, fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, m.Heard); r != nil && (r.Up || m.Lost || r.Listed == wire.MachineRunning || r.Listed == "" && t-r.Since > c.bootTime(m.Class)) {
+		if !m.Deleting && c.silent(m, heard) && c.own.MayLaunch() {
+			if r := c.fleet.Know(m.ID, fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, m.Heard); r != nil && (r.Up || m.Lost || r.Listed == wire.MachineRunning || t-r.Since > c.bootTime(m.Class)) {
 				c.remove(m, "silent")
 			}
 		}
@@ -259,6 +257,30 @@
 	}
 }
 
+// silent tells whether a machine is given up for its silence: a deletion proves
+// it empty sooner than its lease would. Not when all are silent, for then the
+// fault is ours. After a takeover the jobs of an earlier owner wait for every
+// machine, so those that did not find the new owner with the others go sooner.
+func (c *Core) silent(m *workers.Machine, heard time.Duration) bool {
+	t := c.now.Steady
+	if t-heard >= 2*c.pool.Report {
+		return false
+	}
+	if m.Term == 0 && t-m.Heard > c.pool.Report*5/4+limits.TakeoverSlack {
+		all, found := 0, 0
+		for id, x := range c.pool.Machines {
+			if c.roster[id].Up {
+				all++
+				if x.Term != 0 {
+					found++
+				}
+			}
+		}
+		return float64(found) >= limits.TakeoverHeard*float64(all)
+	}
+	return t-m.Heard > c.pool.SilentFor()
+}
+
 // holdsResults tells whether the machine reports completions that are not
 // durable yet: they would have to be run again.
 func (c *Core) holdsResults(m *workers.Machine) bool {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -121,7 +121,7 @@
 		if mt == nil {
 			continue
 		}
-		_, listed := c.roster[m.ID]
+		listed := c.roster[m.ID].Up
 		if listed && !m.Resolved() {
 			unseen = unseen.Add(size(mt), 1)
 		}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -36,18 +36,15 @@
 const (
 	// NodeLease is the life of a controller's state lease. Shorter finds a dead
 	// owner sooner; longer rides out slow renewals on a small processor share.
-	NodeLease = 4 * time.Second
+	NodeLease = 3 * time.Second
 	// RenewEvery leaves three tries within one NodeLease.
-	RenewEvery = time.Second
+	RenewEvery = 700 * time.Millisecond
 	// PromiseLife is how long a peer's promise not to take over lasts. A
 	// restarted peer waits this long before it takes over from another, so it
 	// stays below NodeLease.
-	PromiseLife = 3 * time.Second
+	PromiseLife = 2200 * time.Millisecond
 	// PromiseEvery is how often a suspended owner asks for promises anew.
-	PromiseEvery = 700 * time.Millisecond
-	// StoreQuiet is how long the state service must have been unreachable for a
-	// peer before it believes in an outage and gives promises.
-	StoreQuiet = 1500 * time.Millisecond
+	PromiseEvery = 500 * time.Millisecond
 	// ElectionJitter spreads the claims of candidates so that failed
 	// conditions don't use up the write budget.
 	ElectionJitter = 150 * time.Millisecond
@@ -112,6 +109,13 @@
 	SilentReports = 3
 	// SilentFloor is the least silence that counts, beyond a worker's change of node.
 	SilentFloor = 7 * time.Second
+	// TakeoverSlack, added to the slowest report interval, is how long a machine
+	// may take to find a new owner: a refused report, a second's wait, and a
+	// report that is redirected.
+	TakeoverSlack = 2500 * time.Millisecond
+	// TakeoverHeard is the part of the machines that must have found the new
+	// owner before the others are taken for dead rather than cut off.
+	TakeoverHeard = 0.6
 	// BootFactor times the nominal boot time plus BootSlack: after that a
 	// booting machine is given up.
 	BootFactor = 3.0
