Place a task where its image is, else where most of its job fits; busy machines first

Cause: a fetch holds room for 5 to 20 s, as long as a short task runs, and first fit spread a job over machines that each fetched.

--- a/internal/allocation/allocation.go
+++ b/internal/allocation/allocation.go
@@ -28,6 +28,7 @@
 	Spot   bool
 	Free   Res
 	Images map[string]bool
+	Busy   bool // it has tasks; an idle one may soon be returned
 }
 
 // Unit is a job's waiting tasks, which are all alike.
@@ -159,6 +160,7 @@
 			continue
 		}
 		m.Free = m.Free.Add(u.Need, -1)
+		m.Busy = true
 		if u.Image != "" {
 			if m.Images == nil {
 				m.Images = map[string]bool{}
@@ -174,12 +176,43 @@
 	}
 }
 
-// pick is first-fit.
+// pick is first-fit among the machines that have the unit's image: fetching it
+// elsewhere takes room for as long as a short task runs. With none, it is the
+// machine that takes the most of the unit's tasks, so that few machines fetch.
+// Busy machines go before idle ones, so that these can be returned.
 func pick(u *Unit, machines []*Machine) *Machine {
+	var best *Machine
+	rank, most := -1, 0
 	for _, m := range machines {
-		if u.Need.Fits(m.Free) && u.allows(m) {
-			return m
+		if !u.Need.Fits(m.Free) || !u.allows(m) {
+			continue
+		}
+		r, n := 0, 1
+		if u.Image == "" || m.Images[u.Image] {
+			r = 2
+		} else {
+			n = min(u.Need.Times(m.Free), u.Count)
+		}
+		if m.Busy {
+			r++
+		}
+		if r > rank || (r == rank && n > most) {
+			best, rank, most = m, r, n
+		}
+	}
+	return best
+}
+
+// Times tells how often a is available in b.
+func (a Res) Times(b Res) int {
+	n := math.Inf(1)
+	part := func(x, y float64) {
+		if x > 0 {
+			n = math.Min(n, math.Floor((y+eps)/x))
 		}
 	}
-	return nil
+	part(a.CPUs, b.CPUs)
+	part(a.GPUs, b.GPUs)
+	part(a.Memory, b.Memory)
+	return int(math.Min(n, 1<<20))
 }
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"math"
 	"sort"
 	"time"
@@ -135,7 +136,11 @@
 		for _, p := range c.on[m.ID] {
 			free = free.Add(need(p.job), -1)
 		}
-		machines = append(machines, &allocation.Machine{ID: m.ID, Class: m.Class, Zone: m.Zone, Spot: m.Spot, Free: free, Images: m.Images})
+		images := m.Images
+		if all { // only a plan: it fetches nothing
+			images = maps.Clone(images)
+		}
+		machines = append(machines, &allocation.Machine{ID: m.ID, Class: m.Class, Zone: m.Zone, Spot: m.Spot, Free: free, Images: images, Busy: len(c.on[m.ID]) > 0})
 	}
 	byTeam := map[string]*allocation.Team{}
 	var teams []*allocation.Team
@@ -359,7 +364,7 @@
 			continue
 		}
 		mt := c.fleet.Types[class]
-		per := fitCount(u.Need, size(mt))
+		per := max(1, u.Need.Times(size(mt)))
 		for _, z := range mt.Zones {
 			if u.Zone != "" && u.Zone != z {
 				continue
@@ -387,19 +392,6 @@
 	return true
 }
 
-func fitCount(need, room allocation.Res) int {
-	n := 1 << 20
-	part := func(a, b float64) {
-		if a > 0 {
-			n = min(n, int(b/a+1e-9))
-		}
-	}
-	part(need.CPUs, room.CPUs)
-	part(need.GPUs, room.GPUs)
-	part(need.Memory, room.Memory)
-	return max(1, n)
-}
-
 // returnIdle gives back machines that had nothing to do for a while.
 func (c *Core) returnIdle(used map[string]bool) {
 	t := c.now.Steady
