--- a/internal/allocation/allocation.go
+++ b/internal/allocation/allocation.go
@@ -119,11 +119,12 @@
 	Machine *Machine
 }
 
-// Run fills the machines. It changes Free, Booked, Count and ByZone as it goes.
+// Run fills the machines. largest is the largest unit that unfinished jobs may
+// ask of each class: small units keep out of its way. It changes Free, Booked, Count and ByZone as it goes.
 // A team whose next unit fits nowhere goes on with its next job of another
 // shape; with none left it is skipped. Teams below their guarantee come first:
 // the plain lowest share could leave them behind for want of capacity.
-func Run(teams []*Team, machines []*Machine, capacity map[string]Res) []Placement {
+func Run(teams []*Team, machines []*Machine, capacity, largest map[string]Res) []Placement {
 	var out []Placement
 	type state struct {
 		next  int
@@ -154,7 +155,7 @@
 		}
 		t, s := teams[best], &st[best]
 		u := t.Units[s.next]
-		m := pick(u, machines)
+		m := pick(u, machines, largest)
 		if m == nil {
 			s.next++
 			continue
@@ -176,11 +177,13 @@
 	}
 }
 
-// pick is first-fit among the machines that have the unit's image: fetching it
-// elsewhere takes room for as long as a short task runs. With none, it is the
-// machine that takes the most of the unit's tasks, so that few machines fetch.
-// Busy machines go before idle ones, so that these can be returned.
-func pick(u *Unit, machines []*Machine) *Machine {
+// pick chooses the machine for a unit among those with room, by what counts
+// most: that the largest unit of the class loses no room, for small units
+// spread over large machines lock it out; that the image is there, since a fetch
+// takes room for as long as a short task runs; that the machine is busy, so that
+// idle ones can be returned; that most of the job's tasks fit, so that few
+// machines fetch; and then first-fit.
+func pick(u *Unit, machines []*Machine, largest map[string]Res) *Machine {
 	var best *Machine
 	rank, most := -1, 0
 	for _, m := range machines {
@@ -188,8 +191,11 @@
 			continue
 		}
 		r, n := 0, 1
+		if big := largest[m.Class]; big == u.Need || big.Times(m.Free) == big.Times(m.Free.Add(u.Need, -1)) {
+			r = 4
+		}
 		if u.Image == "" || m.Images[u.Image] {
-			r = 2
+			r += 2
 		} else {
 			n = min(u.Need.Times(m.Free), u.Count)
 		}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -204,6 +204,20 @@
 	return teams, machines, capacity
 }
 
+// largest finds the largest unit that unfinished jobs may ask of each class.
+func (c *Core) largest() map[string]allocation.Res {
+	out := map[string]allocation.Res{}
+	for _, j := range c.book.Open {
+		n := need(j)
+		for _, class := range j.Types {
+			if b := out[class]; n.CPUs > b.CPUs || (n.CPUs == b.CPUs && (n.GPUs > b.GPUs || n.GPUs == b.GPUs && n.Memory > b.Memory)) {
+				out[class] = n
+			}
+		}
+	}
+	return out
+}
+
 func (c *Core) allOurs(team string) bool {
 	for _, j := range c.book.Open {
 		if j.Team == team && !j.Active {
@@ -226,7 +240,7 @@
 		}
 	}
 	teams, machines, capacity := c.view(false)
-	for _, p := range allocation.Run(teams, machines, capacity) {
+	for _, p := range allocation.Run(teams, machines, capacity, c.largest()) {
 		j := c.book.Open[p.Unit.Job]
 		task := j.NextTask()
 		if task < 0 {
@@ -265,7 +279,7 @@
 		}
 	}
 	used := map[string]bool{}
-	for _, p := range allocation.Run(teams, machines, capacity) {
+	for _, p := range allocation.Run(teams, machines, capacity, c.largest()) {
 		used[p.Machine.ID] = true
 	}
 	c.returnIdle(used)
