--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -122,10 +122,10 @@
 	// BootSlack is added to the time for booting, for lists that lag.
 	BootSlack = 10 * time.Second
 	// IdleReturn is how long a machine is idle before it is returned.
-	IdleReturn = 30 * time.Second
+	IdleReturn = 15 * time.Second
 	// IdleReturnDear is the same for an ordinary machine, which costs about twice
 	// as much as a spot machine to keep.
-	IdleReturnDear = 30 * time.Second
+	IdleReturnDear = 10 * time.Second
 	// RentHorizon is within what time work without a target, or past all of
 	// them, should be done: a machine is paid for a minute in any case.
 	RentHorizon = 60 * time.Second
@@ -134,7 +134,7 @@
 	// EasyPart and TightPart of the time left until a job's target are what its
 	// work may take before spot, or ordinary, machines are rented for it. The
 	// rest is for wrong estimates and failures.
-	EasyPart  = 0.5
+	EasyPart  = 0.35
 	TightPart = 0.8
 	// MinCharge is the least time that the cloud charges for.
 	MinCharge = 60 * time.Second
