--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -240,7 +240,7 @@
 			c.planFleet()
 		}
 	}
-	c.book.Tick(t, may && len(c.active) > 0, func(j *jobs.Job) bool { return !j.Frozen })
+	c.book.Tick(t, c.now.Unix, may && len(c.active) > 0, func(j *jobs.Job) bool { return !j.Frozen })
 	c.tellPeers()
 	for _, call := range c.store.Tick(t) {
 		c.out = append(c.out, call)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -406,6 +406,19 @@
 	return true
 }
 
+// idleTime is how long a machine of a class may be idle. Keeping it as long as
+// its successor would take to boot costs at most twice what the best choice
+// with hindsight costs.
+func (c *Core) idleTime(class string) time.Duration {
+	if c.ops.IdleReturnS > 0 {
+		return time.Duration(c.ops.IdleReturnS * float64(time.Second))
+	}
+	if t := c.fleet.Types[class]; t != nil {
+		return time.Duration(t.BootS * limits.IdleBoots * float64(time.Second))
+	}
+	return limits.MinCharge
+}
+
 // returnIdle gives back machines that had nothing to do for a while.
 func (c *Core) returnIdle(used map[string]bool) {
 	t := c.now.Steady
@@ -421,13 +434,7 @@
 		if r.Idle == 0 {
 			r.Idle = t
 		}
-		wait := limits.IdleReturn
-		if c.ops.IdleReturnS > 0 {
-			wait = time.Duration(c.ops.IdleReturnS * float64(time.Second))
-		}
-		if !m.Spot {
-			wait = min(wait, limits.IdleReturnDear)
-		}
+		wait := c.idleTime(m.Class)
 		if t-r.Idle > wait && t-r.Since > limits.MinCharge {
 			c.remove(m, "idle")
 		}
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -10,6 +10,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"strconv"
 	"strings"
@@ -158,6 +159,7 @@
 	store *statestore.Store
 	log   func(level, msg string, args ...any)
 	now   time.Duration
+	unix  float64 // time of day, for the log
 	Open  map[string]*Job
 
 	finals     map[string]final
@@ -278,7 +280,8 @@
 // Tick writes progress and completions of the jobs that this node owns, and
 // sends the waiting users' requests. may tells whether the owner may write;
 // gone whether no machine can hold tasks that have no known place.
-func (b *Book) Tick(now time.Duration, may bool, gone func(*Job) bool) {
+func (b *Book) Tick(now time.Duration, unix float64, may bool, gone func(*Job) bool) {
+	b.unix = unix
 	if now > b.now {
 		b.now = now
 	}
@@ -355,7 +358,8 @@
 			j.closing = true
 			if status != "" {
 				b.remember(id, final{Status: status, Done: j.DoneCount})
-				b.log("info", "job over", "job", id, "status", status, "tasks", j.Tasks)
+				b.log("info", "job over", "job", id, "class", j.Class, "status", status, "tasks", j.Tasks,
+					"tookS", math.Round(10*(b.unix-j.SubmitUnix))/10, "dueS", j.DeadlineS, "estimateS", j.EstimateS)
 			}
 			delete(b.Open, id)
 			delete(b.flushAt, id)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -121,11 +121,10 @@
 	BootFactor = 3.0
 	// BootSlack is added to the time for booting, for lists that lag.
 	BootSlack = 10 * time.Second
-	// IdleReturn is how long a machine is idle before it is returned.
-	IdleReturn = 15 * time.Second
-	// IdleReturnDear is the same for an ordinary machine, which costs about twice
-	// as much as a spot machine to keep.
-	IdleReturnDear = 10 * time.Second
+	// IdleBoots is how long a machine may be idle before it is returned, in
+	// nominal boot times: what is kept too long then costs no more than renting
+	// anew, the fetch of an image included.
+	IdleBoots = 1.2
 	// RentHorizon is within what time work without a target, or past all of
 	// them, should be done: a machine is paid for a minute in any case.
 	RentHorizon = 60 * time.Second
