--- a/internal/allocation/allocation.go
+++ b/internal/allocation/allocation.go
@@ -45,6 +45,7 @@
 	Tasks   int            // all tasks of the job
 	ByZone  map[string]int // its placed tasks by zone; changed by Run
 	Avoid   map[string]bool
+	Safe    bool // better not on a spot machine
 }
 
 func (u *Unit) allows(m *Machine) bool {
@@ -178,7 +179,7 @@
 }
 
 // pick chooses the machine for a unit among those with room, by what counts
-// most: that the largest unit of the class loses no room, for small units
+// most: that a unit that should be safe is on an ordinary machine; that the largest unit of the class loses no room, for small units
 // spread over large machines lock it out; that the image is there, since a fetch
 // takes room for as long as a short task runs; that the machine is busy, so that
 // idle ones can be returned; that most of the job's tasks fit, so that few
@@ -191,8 +192,11 @@
 			continue
 		}
 		r, n := 0, 1
+		if u.Safe && !m.Spot {
+			r += 8
+		}
 		if big := largest[m.Class]; big == u.Need || big.Times(m.Free) == big.Times(m.Free.Add(u.Need, -1)) {
-			r = 4
+			r += 4
 		}
 		if u.Image == "" || m.Images[u.Image] {
 			r += 2
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -30,6 +30,7 @@
 		reply(503, nil)
 		return
 	}
+	recalled := c.pool.Machines[r.Machine] != nil && c.pool.Machines[r.Machine].Recall != 0
 	m, v := c.pool.Hear(c.now.Steady, r, term, c.own.Claims()[r.Type].Since)
 	switch v {
 	case workers.Stale, workers.Deposed:
@@ -37,6 +38,9 @@
 		reply(503, nil)
 		return
 	}
+	if m.Recall != 0 && !recalled && m.Spot {
+		c.fleet.SpotLost()
+	}
 	if rent := c.fleet.Know(r.Machine, fleet.Kind{Class: r.Type, Zone: r.Zone, Spot: r.Spot}, c.now.Steady); rent != nil {
 		rent.Up = true
 	}
@@ -238,6 +242,9 @@
 		}
 		if !m.Deleting && c.silent(m, heard) && c.own.MayLaunch() {
 			if r := c.fleet.Know(m.ID, fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, m.Heard); r != nil && (r.Up || m.Lost || r.Listed == wire.MachineRunning || t-r.Since > c.bootTime(m.Class)) {
+				if m.Spot && m.Recall == 0 {
+					c.fleet.SpotLost()
+				}
 				c.remove(m, "silent")
 			}
 		}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -183,7 +183,8 @@
 			continue
 		}
 		u := &allocation.Unit{Job: j.ID, Need: need(j), Count: n, Image: j.Image, Classes: map[string]bool{}, Zone: j.Zone, Spot: j.Spot,
-			OneZone: j.OneZone, Spread: j.Spread, Tasks: j.Tasks, ByZone: map[string]int{}}
+			OneZone: j.OneZone, Spread: j.Spread, Tasks: j.Tasks, ByZone: map[string]int{},
+			Safe: j.CheckS <= 0 && j.DeadlineS > 0 && c.fleet.SpotRisk(j.EstimateS) > limits.SafeRisk}
 		for _, class := range j.Types {
 			u.Classes[class] = true
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -60,6 +60,11 @@
 	// Patience is how long a machine that this process has just learned of may
 	// take to report.
 	Patience time.Duration
+	// Losses of spot machines and the hours that they ran, both fading, tell
+	// how often spot machines are taken back these days.
+	losses, hours float64
+	riskAt        time.Duration
+
 	Types    map[string]*wire.MachineType
 	Rentals  map[string]*Rental
 	backoff  map[Kind]time.Duration
@@ -357,6 +362,7 @@
 
 // Sweep marks machines that failed or never came up.
 func (f *Manager) Sweep() {
+	f.reckonRisk()
 	for _, r := range f.Rentals {
 		if r.Deleted {
 			continue
@@ -393,6 +399,30 @@
 	return n
 }
 
+// SpotLost records that a spot machine was taken back or vanished.
+func (f *Manager) SpotLost() { f.losses++ }
+
+// reckonRisk lets the record of spot losses go on and fade.
+func (f *Manager) reckonRisk() {
+	d := f.now - f.riskAt
+	f.riskAt = f.now
+	keep := math.Exp(-d.Seconds() / limits.RiskMemory.Seconds())
+	up := 0.0
+	for _, r := range f.Rentals {
+		if r.Up && r.Kind.Spot {
+			up++
+		}
+	}
+	f.losses *= keep
+	f.hours = f.hours*keep + up*d.Hours()
+}
+
+// SpotRisk is the chance that a spot machine is lost within a time.
+func (f *Manager) SpotRisk(seconds float64) float64 {
+	rate := (f.losses + limits.RiskPrior) / (f.hours + limits.RiskPrior)
+	return 1 - math.Exp(-rate*seconds/3600)
+}
+
 // Price is what a kind costs an hour now.
 func (f *Manager) Price(k Kind) float64 {
 	t := f.Types[k.Class]
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -125,6 +125,13 @@
 	// nominal boot times: what is kept too long then costs no more than renting
 	// anew, the fetch of an image included.
 	IdleBoots = 1.2
+	// RiskMemory is how long spot losses count; RiskPrior, losses and hours, is
+	// what is assumed before any are seen: one loss an hour.
+	RiskMemory = 120 * time.Second
+	RiskPrior  = 0.3
+	// SafeRisk is the risk of losing its machine from which a task that saves
+	// nothing goes to an ordinary machine if there is a choice.
+	SafeRisk = 0.03
 	// RentHorizon is within what time work without a target, or past all of
 	// them, should be done: a machine is paid for a minute in any case.
 	RentHorizon = 60 * time.Second
