Tests of every slice and of real processes; refuse messages that announce more than they hold

A body of 40 bytes that announced nested maps of billions of entries took all memory in the decoder (found by a test of malformed submissions). Messages are now walked before they are decoded.

--- /dev/null
+++ b/internal/allocation/allocation_test.go
@@ -0,0 +1,124 @@
+package allocation
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+var anyClass = map[string]bool{"c": true, "d": true}
+
+func unit(job string, cpus float64, n int) *Unit {
+	return &Unit{Job: job, Need: Res{CPUs: cpus, Memory: 1}, Count: n, Tasks: n, Classes: anyClass, Spot: true, ByZone: map[string]int{}}
+}
+
+func machine(id string, cpus float64) *Machine {
+	return &Machine{ID: id, Class: "c", Zone: "z", Free: Res{CPUs: cpus, Memory: 100}}
+}
+
+func count(ps []Placement, team string) (n int) {
+	for _, p := range ps {
+		if p.Team == team {
+			n++
+		}
+	}
+	return n
+}
+
+func TestLowestShareGoesFirst(t *testing.T) {
+	a := &Team{Name: "a", Booked: map[string]Res{"c": {CPUs: 4}}, Units: []*Unit{unit("ja", 1, 20)}}
+	b := &Team{Name: "b", Booked: map[string]Res{}, Units: []*Unit{unit("jb", 1, 20)}}
+	ps := Run([]*Team{a, b}, []*Machine{machine("m", 12)}, map[string]Res{"c": {CPUs: 16, Memory: 100}}, nil)
+	if len(ps) != 12 || count(ps, "a") != 4 || count(ps, "b") != 8 {
+		t.Errorf("a got %d, b got %d; want equal shares of 8 with what a had", count(ps, "a"), count(ps, "b"))
+	}
+}
+
+func TestGuaranteeGoesBeforeShareAndLimitCaps(t *testing.T) {
+	a := &Team{Name: "a", Booked: map[string]Res{"c": {CPUs: 4}}, Guarantee: Res{CPUs: 8}, Units: []*Unit{unit("ja", 1, 20)}}
+	b := &Team{Name: "b", Booked: map[string]Res{}, MaxCPUs: 3, Unknown: Res{CPUs: 1}, Units: []*Unit{unit("jb", 1, 20)}}
+	ps := Run([]*Team{a, b}, []*Machine{machine("m", 8)}, map[string]Res{"c": {CPUs: 16, Memory: 100}}, nil)
+	for i := 0; i < 4; i++ {
+		if ps[i].Team != "a" {
+			t.Errorf("placement %d went to %s, below a's guarantee", i, ps[i].Team)
+		}
+	}
+	if count(ps, "b") != 2 {
+		t.Errorf("b got %d, its limit with one unseen leaves 2", count(ps, "b"))
+	}
+}
+
+func TestPickKeepsRoomForTheLargestAndReusesImages(t *testing.T) {
+	small, large := machine("small", 8), machine("large", 16)
+	small.Class = "d"
+	u := unit("j", 2, 1)
+	u.Image = "i"
+	large.Images = map[string]bool{"i": true}
+	big := map[string]Res{"c": {CPUs: 16}, "d": {CPUs: 2, Memory: 1}}
+	if m := pick(u, []*Machine{large, small}, big); m != small {
+		t.Errorf("a small task went to %s and locked out a large one", m.ID)
+	}
+	if m := pick(u, []*Machine{small, large}, nil); m != large {
+		t.Errorf("the image is on large, got %s", m.ID)
+	}
+}
+
+// TestRunKeepsTheRules checks drawn inputs: no machine is overfilled, no limit
+// passed, no place that the job doesn't allow, and nothing that fits is left.
+func TestRunKeepsTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var machines []*Machine
+		room := map[string]float64{}
+		for i := 0; i < rapid.IntRange(1, 6).Draw(t, "machines"); i++ {
+			m := machine(fmt.Sprint("m", i), float64(rapid.IntRange(0, 16).Draw(t, "cpus")))
+			m.Zone = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")
+			m.Spot = rapid.Bool().Draw(t, "spot")
+			machines = append(machines, m)
+			room[m.ID] = m.Free.CPUs
+		}
+		var teams []*Team
+		for i := 0; i < rapid.IntRange(1, 3).Draw(t, "teams"); i++ {
+			tm := &Team{Name: fmt.Sprint("t", i), Booked: map[string]Res{}, MaxCPUs: float64(rapid.IntRange(0, 30).Draw(t, "max"))}
+			for k := 0; k < rapid.IntRange(0, 3).Draw(t, "jobs"); k++ {
+				u := unit(fmt.Sprint("j", i, k), float64(rapid.IntRange(1, 8).Draw(t, "need")), rapid.IntRange(1, 6).Draw(t, "count"))
+				u.Spot, u.OneZone, u.Spread = rapid.Bool().Draw(t, "allowSpot"), rapid.Bool().Draw(t, "oneZone"), rapid.Bool().Draw(t, "spread")
+				tm.Units = append(tm.Units, u)
+			}
+			teams = append(teams, tm)
+		}
+		ps := Run(teams, machines, map[string]Res{"c": {CPUs: 96, Memory: 600}}, nil)
+		used, byTeam, zones := map[string]float64{}, map[string]float64{}, map[*Unit]map[string]int{}
+		for _, p := range ps {
+			used[p.Machine.ID] += p.Unit.Need.CPUs
+			byTeam[p.Team] += p.Unit.Need.CPUs
+			if zones[p.Unit] == nil {
+				zones[p.Unit] = map[string]int{}
+			}
+			zones[p.Unit][p.Machine.Zone]++
+			if p.Machine.Spot && !p.Unit.Spot {
+				t.Fatalf("%s on a spot machine", p.Unit.Job)
+			}
+		}
+		for id, u := range used {
+			if u > room[id] {
+				t.Fatalf("%s holds %v of %v", id, u, room[id])
+			}
+		}
+		for _, tm := range teams {
+			if tm.MaxCPUs > 0 && byTeam[tm.Name] > tm.MaxCPUs {
+				t.Fatalf("%s uses %v of %v", tm.Name, byTeam[tm.Name], tm.MaxCPUs)
+			}
+			for _, u := range tm.Units {
+				for _, n := range zones[u] {
+					if u.Spread && n > (u.Tasks+1)/2 || u.OneZone && len(zones[u]) > 1 {
+						t.Fatalf("%s in zones %v of %d", u.Job, zones[u], u.Tasks)
+					}
+				}
+				if u.Count > 0 && tm.underLimit(tm.total(), u.Need) && pick(u, machines, nil) != nil {
+					t.Fatalf("a unit of %s still fits", u.Job)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,55 @@
+package config
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+const good = `{"label":"n0","api_addr":"10.0.0.1:8080","peer_bind":"10.0.0.1:8081","others":[{"label":"n1","addr":"10.0.0.2:8081"}],
+"external":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},"unknown":{"x":1},
+"cluster":{"teams":[{"name":"t","cpus":1,"cpus_max":2}],"workers":{"report_s":1.5,"lease_s":14,"cancel_s":34},
+"state":{"rps":150,"write_rps":20,"value_kb":4,"txn_ops":8},"cloud":{"rps":3,"list_lag_s":4},"resources":{"core_share":0.1,"ram_mb":98,"max_sockets":900}}}`
+
+func TestSettings(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil || s.Cluster.Teams[0].CPUsMax != 2 || s.Others[0].Label != "n1" {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	for _, c := range []struct{ old, new, field string }{
+		{`"label":"n0",`, ``, "label"},
+		{`10.0.0.1:8080`, `example.org:8080`, "api_addr"},
+		{`10.0.0.1:8081`, `10.0.0.1:0`, "peer_bind"},
+		{`"label":"n1"`, `"label":"n0"`, "others[0].label"},
+		{`10.2.0.1:2379`, `10.2.0.1`, "external.state"},
+		{`"name":"t"`, `"name":""`, "cluster.teams[0].name"},
+		{`"cpus_max":2`, `"cpus_max":-2`, "cluster.teams[0].cpus_max"},
+		{`"lease_s":14`, `"lease_s":0`, "cluster.workers.lease_s"},
+		{`"txn_ops":8`, `"txn_ops":2`, "cluster.state.txn_ops"},
+		{`"rps":150`, `"rps":"150"`, "cluster.state.rps"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)))
+		var fe *FieldError
+		if !errors.As(err, &fe) || fe.Field != c.field || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s -> %s: got %v, want one line that names %s", c.old, c.new, err, c.field)
+		}
+	}
+	if _, err := Parse([]byte("{")); err == nil {
+		t.Error("broken JSON accepted")
+	}
+}
+
+func TestOperator(t *testing.T) {
+	o, err := ParseOperator([]byte(`{"idle_return_s": 20, "allow_spot": false, "other": 1}`))
+	if err != nil || o.IdleReturnS != 20 || o.Spot() {
+		t.Fatalf("%+v, %v", o, err)
+	}
+	if o, err := LoadOperator(""); err != nil || !o.Spot() {
+		t.Errorf("%+v, %v", o, err)
+	}
+	_, err = ParseOperator([]byte(`{"idle_return_s": "long"}`))
+	var fe *FieldError
+	if !errors.As(err, &fe) || fe.Field != "operator.idle_return_s" || strings.Contains(err.Error(), "\n") {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -184,6 +184,8 @@
 	drift float64
 	refs  map[uint64]func(int, []byte)
 	ref   uint64
+	// remote, if set, stands for a real process at the other end of a socket.
+	remote func(in any, answer func(int, []byte))
 }
 
 func (n *simNode) clock() Now {
@@ -231,6 +233,10 @@
 
 // ask is a request from outside.
 func (n *simNode) ask(make_ func(ref uint64) any, answer func(int, []byte)) {
+	if n.remote != nil {
+		n.remote(make_(0), answer)
+		return
+	}
 	if n.core == nil {
 		return
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -14,6 +14,8 @@
 	MaxStoreBodyBytes = 8 << 20
 	// MaxTasks is the most tasks that one job may have, as the protocol sets.
 	MaxTasks = 100_000
+	// MaxDepth bounds how deep messages nest; the protocol's reach four levels.
+	MaxDepth = 16
 	// MaxTextBytes bounds free text that a job record keeps, so that the record
 	// fits the smallest value size of the state service.
 	MaxTextBytes = 200
--- /dev/null
+++ b/internal/statestore/store_test.go
@@ -0,0 +1,112 @@
+package statestore
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"umberpaddle/internal/wire"
+)
+
+func pack(t *testing.T, v any) []byte {
+	t.Helper()
+	b, err := wire.Encode(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// loaded makes a store whose mirror has been read.
+func loaded(t *testing.T) (*Store, uint64) {
+	t.Helper()
+	s := New(150, 20, 8)
+	calls := s.Tick(time.Second)
+	if len(calls) != 1 || !strings.HasPrefix(calls[0].Path, "/kv?") {
+		t.Fatalf("first calls %+v", calls)
+	}
+	s.Reply(time.Second, calls[0].ID, 200, pack(t, map[string]any{"rows": []any{}, "ledger": 5}))
+	calls = s.Tick(time.Second)
+	if len(calls) != 1 || !strings.Contains(calls[0].Path, "since=5") {
+		t.Fatalf("watch %+v", calls)
+	}
+	return s, calls[0].ID
+}
+
+func TestBudgetAndPriority(t *testing.T) {
+	s, _ := loaded(t)
+	s.Share(0.5) // 9 writes a second
+	var order []string
+	write := func(p Priority, name string) {
+		s.Txn(p, 0, wire.Txn{Then: []wire.Op{{Key: name}, {Key: name}, {Key: name}}}, func(Reply) { order = append(order, name) })
+	}
+	for i := 0; i < 4; i++ {
+		write(Progress, "progress")
+		write(User, "user")
+	}
+	sent := 0
+	for now := time.Second; now <= 4*time.Second; now += 100 * time.Millisecond {
+		for _, c := range s.Tick(now) {
+			sent += 3
+			s.Reply(now, c.ID, 200, nil)
+		}
+		if over := float64(sent) - 9 - 9*(now-time.Second).Seconds(); over > 0.01 {
+			t.Fatalf("%d writes after %v", sent, now-time.Second)
+		}
+	}
+	if fmt.Sprint(order) != "[user user user user progress progress progress progress]" {
+		t.Errorf("order %v", order)
+	}
+}
+
+func TestRefusalsPauseAndWaitsEnd(t *testing.T) {
+	s, _ := loaded(t)
+	got, now := 0, 2*time.Second
+	s.Get(User, 5*time.Second, "k", func(r Reply) { got = r.Status })
+	c := s.Tick(now)
+	s.Reply(now, c[0].ID, 503, nil)
+	if got != 503 || !s.Down() {
+		t.Fatalf("status %d, down %v", got, s.Down())
+	}
+	s.Get(User, 100*time.Millisecond, "k", func(r Reply) { got = -r.Status })
+	if c := s.Tick(now + 50*time.Millisecond); len(c) != 0 {
+		t.Fatalf("sent %+v in the pause", c)
+	}
+	s.Tick(now + 150*time.Millisecond)
+	if got != -503 {
+		t.Errorf("a request that waited too long got %d", got)
+	}
+	s.Reply(3*time.Second, 9999, 200, nil) // an answer to nothing
+}
+
+func TestMirrorFollowsWatchAndReloads(t *testing.T) {
+	s, watch := loaded(t)
+	s.Reply(2*time.Second, watch, 200, pack(t, map[string]any{"ledger": 9, "news": []any{
+		map[string]any{"put": "u/a", "v": 1, "stamp": 7}, map[string]any{"put": "u/b", "v": 1, "stamp": 8}, map[string]any{"remove": "u/a", "stamp": 9}}}))
+	if _, ok := s.Mirror.Get("u/a"); ok || s.Mirror.Revision != 9 || len(s.Mirror.Take()) != 3 {
+		t.Fatal("watch not followed")
+	}
+	c := s.Tick(2 * time.Second)
+	s.Reply(2*time.Second, c[0].ID, 410, nil)
+	// The mirror is read again: two pages, and what they lack is gone.
+	c = s.Tick(2 * time.Second)
+	s.Reply(2*time.Second, c[0].ID, 200, pack(t, map[string]any{"rows": []any{map[string]any{"path": "u/c", "v": 1, "stamp": 20}}, "hasNext": true, "ledger": 30}))
+	c = s.Tick(2 * time.Second)
+	if !strings.Contains(c[0].Path, "since=u%2Fc") {
+		t.Fatalf("second page %+v", c)
+	}
+	s.Reply(2*time.Second, c[0].ID, 200, pack(t, map[string]any{"rows": []any{map[string]any{"path": "u/d", "v": 1, "stamp": 31}}, "ledger": 33}))
+	if _, ok := s.Mirror.Get("u/b"); ok {
+		t.Error("a key that is gone is still there")
+	}
+	c = s.Tick(2 * time.Second)
+	if !strings.Contains(c[0].Path, "since=30") {
+		t.Errorf("the watch goes on from %s, want the first page's revision", c[0].Path)
+	}
+	// An older message changes nothing.
+	s.Reply(2*time.Second, c[0].ID, 200, pack(t, map[string]any{"ledger": 34, "news": []any{map[string]any{"remove": "u/d", "stamp": 30}}}))
+	if _, ok := s.Mirror.Get("u/d"); !ok {
+		t.Error("an older removal took a newer key")
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -242,6 +242,9 @@
 			err = fmt.Errorf("decode %T: %v", v, p)
 		}
 	}()
+	if err := Check(b); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
+	}
 	if err := msgpack.Unmarshal(b, v); err != nil {
 		return fmt.Errorf("decode %T: %w", v, err)
 	}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,135 @@
+package wire
+
+import (
+	"bytes"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func valid() map[string]any {
+	return map[string]any{"id": "job-000412", "docket": "train", "crew": "vision", "form": "batch", "urgency": "urgent", "sheets": 16,
+		"cores": 8.0, "accelerators": 1, "ramGb": 64.0, "plate": "img-07", "imageGb": 6.2, "builds": []string{"g8"}, "valley": nil,
+		"oneZone": true, "scatter": false, "loaners": true, "reckonS": 240.0, "markS": 30.0, "stowS": 4.0, "dueS": 900.0, "news": "ignored"}
+}
+
+func parse(t *testing.T, m map[string]any) (*Submission, error) {
+	t.Helper()
+	b, err := Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ParseSubmission(b)
+}
+
+func TestParseSubmission(t *testing.T) {
+	got, err := parse(t, valid())
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &Submission{Listed: []string{"g8"}, Job: Job{ID: "job-000412", Class: "train", Team: "vision", Urgency: 2, Tasks: 16, CPUs: 8, GPUs: 1,
+		MemoryGB: 64, Image: "img-07", ImageGB: 6.2, OneZone: true, Spot: true, EstimateS: 240, CheckS: 30, SaveS: 4, DeadlineS: 900}}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
+
+func TestParseSubmissionRefuses(t *testing.T) {
+	bad := map[string]any{"id": "job-x", "form": "gang", "urgency": "now", "sheets": 0, "cores": math.NaN(), "ramGb": -1.0,
+		"reckonS": math.Inf(1), "crew": 7, "builds": "g8", "oneZone": "yes", "dueS": "soon", "plate": 3, "docket": nil}
+	for field, v := range bad {
+		m := valid()
+		m[field] = v
+		if _, err := parse(t, m); err == nil || !strings.HasPrefix(err.Error(), field) {
+			t.Errorf("%s=%v: got %v, want an error that names the field", field, v, err)
+		}
+	}
+	for _, field := range []string{"id", "crew", "form", "urgency", "sheets", "cores", "ramGb", "reckonS"} {
+		m := valid()
+		delete(m, field)
+		if _, err := parse(t, m); err == nil {
+			t.Errorf("without %s: accepted", field)
+		}
+	}
+	for _, v := range []any{1.5, 100001, "16"} {
+		m := valid()
+		m["sheets"] = v
+		if _, err := parse(t, m); err == nil {
+			t.Errorf("sheets=%v: accepted", v)
+		}
+	}
+	// The last ones announce billions of entries in a few bytes: guards against
+	// a body of 40 bytes that took all memory.
+	for _, b := range [][]byte{nil, {0xc1}, {0x93, 1, 2, 3}, {0xc0}, bytes.Repeat([]byte{0xdf}, 40), {0xdd, 0xff, 0xff, 0xff, 0xff}, bytes.Repeat([]byte{0x91}, 1000), {0x81, 0xa1, 'a'}} {
+		if _, err := ParseSubmission(b); err == nil {
+			t.Errorf("% x: accepted", b)
+		}
+	}
+}
+
+// TestLongTextsFitARecord guards against records larger than a value of the
+// state service may be: a submission may carry long names.
+func TestLongTextsFitARecord(t *testing.T) {
+	m := valid()
+	m["plate"], m["docket"] = strings.Repeat("p", 20000), strings.Repeat("d", 20000)
+	s, err := parse(t, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b, err := Encode(s.Job); err != nil || len(b) > 1024 {
+		t.Errorf("record of %d bytes, %v", len(b), err)
+	}
+}
+
+// TestBytes pins the encoding of what workers receive and send.
+func TestBytes(t *testing.T) {
+	got, err := Encode(ReportReply{Token: 41, Commands: []Command{{Verb: VerbStop, Task: "job-1/0", Attempt: 2, GraceS: 10}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := "\x82\xa5baton\x29\xa6orders\x91\x84\xa4verb\xa4stop\xa5sheet\xa7job-1/0\xa3try\x02\xa7leewayS\xcb\x40\x24\x00\x00\x00\x00\x00\x00"
+	if string(got) != want {
+		t.Errorf("got %q", got)
+	}
+	in := "\x87\xa3hut\xa3i-1\xa5build\xa2g8\xa5shift\x01\xa5tally\xcc\xc8\xa5baton\x29\xa7recallS\xc0\xa6sheets\x91\x84\xa5sheet\xa7job-1/0\xa3try\x02\xa6status\xa5ended\xa5cause\xa4done"
+	var r Report
+	if err := Decode([]byte(in), &r); err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(Report{Machine: "i-1", Type: "g8", Session: 1, Seq: 200, Token: 41, Tasks: []TaskReport{{Task: "job-1/0", Attempt: 2, State: TaskEnded, Cause: CauseDone}}}, r); d != "" {
+		t.Error(d)
+	}
+}
+
+func TestCheckTakesWhatTheEncoderMakes(t *testing.T) {
+	for _, v := range []any{valid(), []any{uint64(1 << 60), int64(-1 << 40), -5, 300, 70000, 1.5, float32(2), nil, true,
+		strings.Repeat("x", 20), strings.Repeat("x", 300), strings.Repeat("x", 70000)}, make([]int, 20), make([]int, 70000)} {
+		b, err := Encode(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := Check(b); err != nil {
+			t.Errorf("%T of %d bytes: %v", v, len(b), err)
+		}
+		if err := Check(b[:len(b)-1]); err == nil {
+			t.Errorf("%T of %d bytes cut short: taken", v, len(b))
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte("\x87\xa3hut\xa3i-1"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var r Report
+		if err := Decode(b, &r); err == nil {
+			if _, err := Encode(&r); err != nil {
+				t.Error(err)
+			}
+		}
+		if s, err := ParseSubmission(b); err == nil && (s.Tasks < 1 || !ValidJobID(s.ID)) {
+			t.Errorf("accepted %+v", s)
+		}
+	})
+}
