--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -151,6 +151,7 @@
 	nextRun    time.Duration
 	nextTell   time.Duration
 	nextPlan   time.Duration
+	nextUse    time.Duration
 	told       map[string][2]int
 	typesSaved map[string]bool
 	waiting    map[string]bool // classes taken over with machines still unresolved
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -264,6 +264,7 @@
 		return
 	}
 	c.fleet.Sweep()
+	c.logUse()
 	teams, machines, capacity := c.view(true)
 	// Machines on their way take their part first.
 	booting := c.fleet.Booting()
@@ -358,6 +359,43 @@
 	return out
 }
 
+// logUse tells what the CPUs paid for are used for.
+func (c *Core) logUse() {
+	if c.now.Steady < c.nextUse {
+		return
+	}
+	c.nextUse = c.now.Steady + limits.LogUseEvery
+	by := map[jobs.TaskState]float64{}
+	idle, free, waiting := 0.0, 0.0, 0.0
+	for _, m := range c.pool.Machines {
+		t := c.fleet.Types[m.Class]
+		if t == nil || !m.Adopted {
+			continue
+		}
+		left := t.CPUs
+		for _, p := range c.on[m.ID] {
+			by[p.job.Placed[p.task].State] += p.job.CPUs
+			left -= p.job.CPUs
+		}
+		if len(c.on[m.ID]) == 0 {
+			idle += left
+		} else {
+			free += left
+		}
+	}
+	for _, j := range c.book.Open {
+		if j.Active && !j.Cancelled {
+			waiting += float64(j.Waiting()) * j.CPUs
+		}
+	}
+	booting := 0
+	for _, n := range c.fleet.Booting() {
+		booting += n
+	}
+	c.log("debug", "use of CPUs", "running", by[jobs.Running], "fetching", by[jobs.Fetching], "toldOrPlanned", by[jobs.Planned]+by[jobs.Sent],
+		"saving", by[jobs.Saving], "freeOnBusy", free, "idle", idle, "waiting", waiting, "bootingMachines", booting)
+}
+
 // fitFresh puts a unit on a machine still to be rented, adding the cheapest
 // suitable one if the job lacks that much: cheap machines so that it is easily
 // in time, dear ones only so that it is in time.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -174,6 +174,8 @@
 	RetryMost = 60 * time.Second
 	// PlanEvery is how often the need for machines is reckoned.
 	PlanEvery = 500 * time.Millisecond
+	// LogUseEvery is how often the use of CPUs is logged.
+	LogUseEvery = 5 * time.Second
 	// MaxCommands bounds the commands of one answer, well inside MaxBodyBytes.
 	MaxCommands = 200
 	// AttemptBits is the width of the counter below the term in an attempt
