--- a/internal/allocation/allocation.go
+++ b/internal/allocation/allocation.go
@@ -181,17 +181,17 @@
 // pick chooses the machine for a unit among those with room, by what counts
 // most: that a unit that should be safe is on an ordinary machine; that the largest unit of the class loses no room, for small units
 // spread over large machines lock it out; that the image is there, since a fetch
-// takes room for as long as a short task runs; that the machine is busy, so that
-// idle ones can be returned; that most of the job's tasks fit, so that few
-// machines fetch; and then first-fit.
+// takes room for as long as a short task runs; that the machine is busy, and has
+// the least room left, so that others run empty and can be returned; and then
+// first-fit.
 func pick(u *Unit, machines []*Machine, largest map[string]Res) *Machine {
 	var best *Machine
-	rank, most := -1, 0
+	rank := -1
 	for _, m := range machines {
 		if !u.Need.Fits(m.Free) || !u.allows(m) {
 			continue
 		}
-		r, n := 0, 1
+		r := 0
 		if u.Safe && !m.Spot {
 			r += 8
 		}
@@ -200,14 +200,12 @@
 		}
 		if u.Image == "" || m.Images[u.Image] {
 			r += 2
-		} else {
-			n = min(u.Need.Times(m.Free), u.Count)
 		}
 		if m.Busy {
 			r++
 		}
-		if r > rank || (r == rank && n > most) {
-			best, rank, most = m, r, n
+		if r > rank || (r == rank && m.Free.CPUs < best.Free.CPUs-eps) {
+			best, rank = m, r
 		}
 	}
 	return best
