--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -126,7 +126,7 @@
 	// IdleBoots is how long a machine may be idle before it is returned, in
 	// nominal boot times: what is kept too long then costs no more than renting
 	// anew, the fetch of an image included.
-	IdleBoots = 1.2
+	IdleBoots = 0.7
 	// RiskMemory is how long spot losses count; RiskPrior, losses and hours, is
 	// what is assumed before any are seen: one loss an hour.
 	RiskMemory = 120 * time.Second
@@ -138,7 +138,7 @@
 	// them, should be done: a machine is paid for a minute in any case.
 	RentHorizon = 60 * time.Second
 	// RentLeast is the least useful time that a machine is rented for.
-	RentLeast = 15 * time.Second
+	RentLeast = 30 * time.Second
 	// EasyPart and TightPart of the time left until a job's target are what its
 	// work may take before spot, or ordinary, machines are rented for it. The
 	// rest is for wrong estimates and failures.
