--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -62,9 +62,10 @@
 	}
 	// PeerReply is a peer's answer to a PeerCall.
 	PeerReply struct {
-		Peer string
-		Sent time.Duration
-		Yes  bool
+		Peer  string
+		Sent  time.Duration
+		Probe bool
+		Yes   bool
 	}
 	// PeerRequest is a peer's PeerCall as it arrives here.
 	PeerRequest struct {
@@ -96,10 +97,12 @@
 	}
 )
 
-// PeerMessage is what controllers tell each other: counts for display, or the
-// wish for a promise not to take over the given terms.
+// PeerMessage is what controllers tell each other: counts for display, the wish
+// for a promise not to take over the given terms, or the question whether the
+// peer reaches the state service.
 type PeerMessage struct {
 	From    string
+	Probe   bool
 	Promise bool
 	Terms   map[string]uint64
 	Counts  map[string][2]int
@@ -141,20 +144,23 @@
 	pool  *workers.Pool
 	fleet *fleet.Manager
 
-	active     map[string]uint64            // class -> term that we act on
-	on         map[string]map[string]placed // machine -> task id -> placed
-	roster     map[string]rosterEntry
-	writing    map[string]bool // roster keys being written
-	counter    uint64          // attempts given out
-	dirty      bool            // the allocation has something new to decide on
-	order      uint64
-	nextRun    time.Duration
-	nextTell   time.Duration
-	nextPlan   time.Duration
-	nextUse    time.Duration
-	told       map[string][2]int
-	typesSaved map[string]bool
-	waiting    map[string]bool // classes taken over with machines still unresolved
+	active    map[string]uint64            // class -> term that we act on
+	on        map[string]map[string]placed // machine -> task id -> placed
+	roster    map[string]rosterEntry
+	writing   map[string]bool // roster keys being written
+	counter   uint64          // attempts given out
+	dirty     bool            // the allocation has something new to decide on
+	order     uint64
+	nextRun   time.Duration
+	nextTell  time.Duration
+	nextPlan  time.Duration
+	nextProbe time.Duration
+	// othersReach is when a peer last reached the state service while we didn't.
+	othersReach time.Duration
+	nextUse     time.Duration
+	told        map[string][2]int
+	typesSaved  map[string]bool
+	waiting     map[string]bool // classes taken over with machines still unresolved
 }
 
 // NewCore makes the state machine. random names this life of the process.
@@ -208,7 +214,12 @@
 	case CloudReply:
 		c.fleet.Reply(t, x.ID, x.Status, x.Body)
 	case PeerReply:
-		c.own.Promised(x.Peer, x.Sent, x.Yes)
+		switch {
+		case !x.Probe:
+			c.own.Promised(x.Peer, x.Sent, x.Yes)
+		case x.Yes:
+			c.othersReach = t
+		}
 	case PeerRequest:
 		c.peer(x)
 	}
@@ -518,6 +529,12 @@
 			c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.set.Label, Promise: true, Terms: c.own.Terms()}})
 		}
 	}
+	if c.store.Down() && t >= c.nextProbe {
+		c.nextProbe = t + limits.PromiseEvery
+		for _, p := range c.set.Others {
+			c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.set.Label, Probe: true}})
+		}
+	}
 	if t < c.nextTell || len(c.active) == 0 {
 		return
 	}
@@ -544,6 +561,10 @@
 }
 
 func (c *Core) peer(x PeerRequest) {
+	if x.Msg.Probe {
+		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: c.store.Mirror.Loaded && !c.store.Down()})
+		return
+	}
 	if x.Msg.Promise {
 		yes := c.own.AskPromise(c.now.Steady, x.Msg.Terms)
 		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: yes})
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -66,10 +66,16 @@
 		on = map[string]placed{}
 		c.on[m.ID] = on
 	}
-	reported := make(map[string]bool, len(m.Tasks))
+	// By attempt: an ended attempt that waits for its clear must not pass for a
+	// later one whose launch was lost, which would then never be launched again.
+	type attempt struct {
+		id string
+		n  uint64
+	}
+	reported := make(map[attempt]bool, len(m.Tasks))
 	for _, t := range m.Tasks {
 		id := t.Task
-		reported[id] = true
+		reported[attempt{id, t.Attempt}] = true
 		jobID, task := jobs.SplitTask(id)
 		j := c.book.Open[jobID]
 		if j != nil && (task < 0 || task >= j.Tasks) {
@@ -110,7 +116,7 @@
 		}
 	}
 	for id, p := range on {
-		if !reported[id] && p.job.Placed[p.task].State != jobs.Planned {
+		if pl := p.job.Placed[p.task]; !reported[attempt{id, pl.Attempt}] && pl.State != jobs.Planned {
 			// Sent, but the answer never arrived; or gone with a session.
 			p.job.Unplace(p.task)
 			delete(on, id)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -410,6 +410,9 @@
 			return true
 		}
 	}
+	if len(*fresh) >= limits.FreshMost {
+		return false
+	}
 	var best fleet.Kind
 	cost := 0.0
 	for _, class := range c.fleet.Classes() {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -16,8 +16,13 @@
 	return jobs.Answer{Status: status, Body: wire.ErrorBody{Error: why}}
 }
 
+// ready: the node knows the state and the machine types, and is not the only one
+// that the state service refuses. In an outage for all it stays ready: taking
+// every node out, and letting them back after a pause, would help nobody.
 func (c *Core) ready(x Ready) {
-	if c.store.Mirror.Loaded && len(c.fleet.Types) > 0 {
+	t := c.now.Steady
+	alone := c.store.Down() && t-c.store.LastOK > limits.AloneAfter && c.othersReach > 0 && t-c.othersReach < limits.AloneAfter
+	if c.store.Mirror.Loaded && len(c.fleet.Types) > 0 && !alone {
 		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200})
 		return
 	}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -301,8 +301,8 @@
 						if status == 200 && wire.Decode(b, &yes) != nil {
 							yes = false
 						}
-						if alive() && x.Msg.Promise {
-							n.step(PeerReply{Peer: x.Peer, Sent: x.Sent, Yes: yes})
+						if alive() && (x.Msg.Promise || x.Msg.Probe) {
+							n.step(PeerReply{Peer: x.Peer, Sent: x.Sent, Probe: x.Msg.Probe, Yes: yes})
 						}
 					})
 			}
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -10,7 +10,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -173,6 +175,8 @@
 	byRef     map[string]*submit
 	flushAt   map[string]time.Duration
 	nextFlush time.Duration
+	orphans   map[string]bool // keys of done sets without a job
+	sweeping  bool
 
 	// Guard gives the condition under which this node's writes as owner hold.
 	Guard func(class string) wire.Guard
@@ -180,7 +184,7 @@
 
 // New makes an empty book.
 func New(store *statestore.Store, log func(string, string, ...any)) *Book {
-	return &Book{store: store, log: log, Open: map[string]*Job{}, finals: map[string]final{}, byRef: map[string]*submit{}, flushAt: map[string]time.Duration{}}
+	return &Book{store: store, log: log, Open: map[string]*Job{}, finals: map[string]final{}, byRef: map[string]*submit{}, flushAt: map[string]time.Duration{}, orphans: map[string]bool{}}
 }
 
 // Apply follows a change of the mirror.
@@ -189,6 +193,12 @@
 	case strings.HasPrefix(c.Key, keyOpen):
 		id := c.Key[len(keyOpen):]
 		if c.Removed {
+			if j := b.Open[id]; j != nil {
+				// Parts that went in the same transaction follow at once.
+				for k := range j.parts {
+					b.orphan(id, k)
+				}
+			}
 			delete(b.Open, id)
 			delete(b.flushAt, id)
 			return
@@ -221,6 +231,11 @@
 		id, part, ok := strings.Cut(c.Key[len(keyProgress):], "/")
 		k, err := strconv.Atoi(part)
 		j := b.Open[id]
+		if c.Removed {
+			delete(b.orphans, c.Key)
+		} else if j == nil {
+			b.orphans[c.Key] = true
+		}
 		if !ok || err != nil || j == nil || k < 0 || k*limits.ChunkTasks >= j.Tasks {
 			return
 		}
@@ -238,6 +253,38 @@
 	}
 }
 
+func (b *Book) orphan(id string, k int) {
+	key := keyProgress + id + "/" + strconv.Itoa(k)
+	if _, ok := b.store.Mirror.Get(key); ok {
+		b.orphans[key] = true
+	}
+}
+
+// sweep removes parts of done sets whose job is over: they did not fit into the
+// transaction that ended it.
+func (b *Book) sweep() {
+	if len(b.orphans) == 0 || b.sweeping {
+		return
+	}
+	var t wire.Txn
+	for _, key := range slices.Sorted(maps.Keys(b.orphans)) {
+		e, ok := b.store.Mirror.Get(key)
+		if !ok {
+			delete(b.orphans, key)
+			continue
+		}
+		if len(t.Then) < b.store.MaxWrites() {
+			t.Guards = append(t.Guards, wire.Guard{Key: key, Version: e.Version})
+			t.Then = append(t.Then, wire.Op{Remove: key})
+		}
+	}
+	if len(t.Then) == 0 {
+		return
+	}
+	b.sweeping = true
+	b.store.Txn(statestore.Progress, limits.StoreTimeout*2, t, func(statestore.Reply) { b.sweeping = false })
+}
+
 // Launched tells whether any owner may have launched tasks of the job.
 func (j *Job) Launched() bool { return len(j.parts) > 0 }
 
@@ -292,6 +339,7 @@
 	}
 	flush := b.now >= b.nextFlush
 	if flush {
+		b.sweep()
 		b.nextFlush = b.now + limits.BatchEvery
 	}
 	for _, id := range b.ids() {
--- /dev/null
+++ b/internal/jobs/book_test.go
@@ -0,0 +1,204 @@
+package jobs
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/statestore"
+	"umberpaddle/internal/wire"
+)
+
+func TestDoneSetsOfLargeJobsFitValues(t *testing.T) {
+	b := newBits(limits.MaxTasks)
+	for i := 0; i < limits.MaxTasks; i++ {
+		if i%3 != 0 {
+			b.Set(i)
+		}
+	}
+	back := newBits(limits.MaxTasks)
+	added := 0
+	for k := 0; k*limits.ChunkTasks < limits.MaxTasks; k++ {
+		text := b.chunk(k)
+		if len(text) > 3500 {
+			t.Errorf("part %d has %d bytes, a value may have 4096", k, len(text))
+		}
+		added += len(back.merge(k, text, limits.MaxTasks))
+		if again := back.merge(k, text, limits.MaxTasks); len(again) != 0 {
+			t.Errorf("part %d added %d tasks twice", k, len(again))
+		}
+	}
+	if string(back) != string(b) || added != limits.MaxTasks*2/3 {
+		t.Errorf("%d tasks came back", added)
+	}
+	if got := newBits(10).merge(0, "//////8", 10); len(got) != 10 {
+		t.Errorf("bits beyond the job's tasks were taken: %v", got)
+	}
+}
+
+// bench is a book with a state service that answers as told.
+type bench struct {
+	t     *testing.T
+	store *statestore.Store
+	book  *Book
+	now   time.Duration
+	txns  []statestore.Call
+}
+
+func newBench(t *testing.T) *bench {
+	s := statestore.New(1000, 1000, 8)
+	b := &bench{t: t, store: s, book: New(s, func(string, string, ...any) {}), now: time.Second}
+	b.book.Guard = func(string) wire.Guard { return wire.Guard{Key: "u/own/c", Version: 1} }
+	b.tick() // reads the mirror
+	return b
+}
+
+func (b *bench) pack(v any) []byte {
+	raw, err := wire.Encode(v)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return raw
+}
+
+// tick lets time pass; the mirror is empty, transactions are kept for the test.
+func (b *bench) tick() {
+	b.now += 100 * time.Millisecond
+	b.book.Tick(b.now, 0, true, func(*Job) bool { return true })
+	for _, c := range b.store.Tick(b.now) {
+		switch {
+		case strings.HasPrefix(c.Path, "/kv?"):
+			b.store.Reply(b.now, c.ID, 200, b.pack(map[string]any{"rows": []any{}, "ledger": 1}))
+		case c.Path == "/multi":
+			b.txns = append(b.txns, c)
+		}
+	}
+	for _, ch := range b.store.Mirror.Take() {
+		b.book.Apply(ch)
+	}
+}
+
+func (b *bench) open(id string, tasks int, version uint64) *Job {
+	b.store.Mirror.Put(keyOpen+id, b.pack(&wire.Job{ID: id, Tasks: tasks, Types: []string{"c"}}), version)
+	b.tick()
+	b.txns = nil
+	return b.book.Open[id]
+}
+
+func TestRepeatedSubmissionIsOneJob(t *testing.T) {
+	b := newBench(t)
+	b.tick()
+	var got []Answer
+	job := &wire.Job{ID: "job-1", Tasks: 1, Types: []string{"c"}}
+	for i := 0; i < 2; i++ {
+		b.book.Submit(b.now, job, func(a Answer) { got = append(got, a) })
+	}
+	b.tick()
+	if len(b.txns) != 1 {
+		t.Fatalf("%d transactions", len(b.txns))
+	}
+	b.store.Reply(b.now, b.txns[0].ID, 200, b.pack(wire.TxnReply{Revision: 9}))
+	if len(got) != 2 || got[0].Status != 201 || got[1].Status != 200 {
+		t.Fatalf("answers %+v", got)
+	}
+	// No answer: the user is told to come back, and nothing is assumed.
+	b.txns, got = nil, nil
+	b.book.Submit(b.now, &wire.Job{ID: "job-2", Tasks: 1}, func(a Answer) { got = append(got, a) })
+	b.tick()
+	b.store.Reply(b.now, b.txns[0].ID, 0, nil)
+	if len(got) != 1 || got[0].Status != 503 || got[0].RetryAfter == 0 || b.book.Known("job-2") {
+		t.Fatalf("answers %+v", got)
+	}
+}
+
+func TestQueriesShareATransactionAndTellNoGuess(t *testing.T) {
+	b := newBench(t)
+	b.open("job-1", 2, 5)
+	got := map[string]Answer{}
+	for _, id := range []string{"job-1", "job-2", "job-3"} {
+		b.book.Query(b.now, id, func(a Answer) { got[id] = a })
+	}
+	b.tick()
+	if len(b.txns) != 1 {
+		t.Fatalf("%d transactions", len(b.txns))
+	}
+	txn := b.txns[0].Body.(wire.Txn)
+	if len(txn.Then) != 0 || len(txn.Guards) != 5 {
+		t.Errorf("%+v", txn)
+	}
+	// job-2 exists although the mirror doesn't know it yet; job-3 doesn't.
+	b.store.Reply(b.now, b.txns[0].ID, 409, b.pack(wire.TxnReply{Failed: []string{keyOpen + "job-2"}}))
+	for id, want := range map[string]int{"job-1": 200, "job-2": 200, "job-3": 404} {
+		if got[id].Status != want {
+			t.Errorf("%s: %d, want %d", id, got[id].Status, want)
+		}
+	}
+	b.txns = nil
+	b.book.Query(b.now, "job-3", func(a Answer) { got["job-3"] = a })
+	b.tick()
+	b.store.Reply(b.now, b.txns[0].ID, 503, nil)
+	if got["job-3"].Status != 503 {
+		t.Errorf("without the state service: %d", got["job-3"].Status)
+	}
+}
+
+func TestDoneIsTakenBackByACancellation(t *testing.T) {
+	b := newBench(t)
+	j := b.open("job-1", 1, 5)
+	j.Active = true
+	j.MarkDone(0)
+	b.tick()
+	if len(b.txns) != 1 {
+		t.Fatalf("%d transactions", len(b.txns))
+	}
+	txn := b.txns[0].Body.(wire.Txn)
+	if fmt.Sprint(txn.Guards) != "[{u/own/c 1} {u/o/job-1 5} {fin/job-1 0}]" {
+		t.Errorf("guards %v", txn.Guards)
+	}
+	b.store.Reply(b.now, b.txns[0].ID, 409, b.pack(wire.TxnReply{Failed: []string{keyFinal + "job-1"}}))
+	if b.book.Open["job-1"] == nil {
+		t.Fatal("the job is gone although its completion was refused")
+	}
+	b.store.Mirror.Put(keyCancel+"job-1", b.pack(true), 7)
+	b.tick()
+	b.txns = nil
+	for i := 0; i < 10 && len(b.txns) == 0; i++ {
+		b.tick()
+	}
+	for _, op := range b.txns[0].Body.(wire.Txn).Then {
+		if op.Key != "" {
+			t.Errorf("a cancelled job is written as %+v", op)
+		}
+	}
+}
+
+// TestPartsWithoutAJobAreSwept guards against keys that pile up: a job of
+// 100,000 tasks has more parts than one transaction may remove.
+func TestPartsWithoutAJobAreSwept(t *testing.T) {
+	b := newBench(t)
+	b.open("job-1", limits.MaxTasks, 5)
+	for k := 0; k < 7; k++ {
+		b.store.Mirror.Put(fmt.Sprintf("%sjob-1/%d", keyProgress, k), b.pack(progress{}), uint64(6+k))
+	}
+	b.tick()
+	b.book.Apply(statestore.Change{Key: keyOpen + "job-1", Removed: true})
+	removed := 0
+	for i := 0; i < 60 && removed < 7; i++ {
+		b.txns = nil
+		b.tick()
+		for _, c := range b.txns {
+			for _, op := range c.Body.(wire.Txn).Then {
+				if !strings.HasPrefix(op.Remove, keyProgress+"job-1/") {
+					t.Errorf("unexpected %+v", op)
+				}
+				removed++
+			}
+			b.store.Reply(b.now, c.ID, 200, b.pack(wire.TxnReply{Revision: 99}))
+		}
+	}
+	if removed != 7 {
+		t.Errorf("%d parts removed", removed)
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -47,6 +47,9 @@
 	PromiseLife = 2200 * time.Millisecond
 	// PromiseEvery is how often a suspended owner asks for promises anew.
 	PromiseEvery = 500 * time.Millisecond
+	// AloneAfter is how long the state service must be out of this node's reach,
+	// but in a peer's, before this node sends its users to others.
+	AloneAfter = 2 * time.Second
 	// ElectionJitter spreads the claims of candidates so that failed
 	// conditions don't use up the write budget.
 	ElectionJitter = 150 * time.Millisecond
@@ -150,6 +153,9 @@
 	HireBackoff = 6 * time.Second
 	// HireMost is the most machines in one request, as the protocol sets.
 	HireMost = 50
+	// FreshMost bounds the machines that one reckoning wishes for: a job of
+	// 100,000 tasks must not be packed onto thousands of them twice a second.
+	FreshMost = 100
 	// DeleteMost is the most names in one deletion, as the protocol sets.
 	DeleteMost = 100
 	// CloudTimeout bounds a request to the cloud.
