--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -92,3 +93,59 @@
 		t.Errorf("on old news: %d", a.Status)
 	}
 }
+
+// TestFaultyMachineGoesAtOnce guards against a machine that fails every task
+// but is kept while it holds some: a takeover then had to judge it again.
+func TestFaultyMachineGoesAtOnce(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		w := newWorld(seed, standardWorld())
+		for i := 0; i < 8; i++ {
+			w.user(fmt.Sprintf("job-%06d", i), map[string]any{"docket": "x", "crew": "blue", "form": "batch", "urgency": "standard",
+				"sheets": 20, "cores": 2.0, "accelerators": 0.0, "ramGb": 2.0, "loaners": true, "reckonS": 20.0}, 20)
+		}
+		w.run(40 * time.Second)
+		m := w.liveMachine()
+		m.sick = true
+		began := w.now
+		for !m.gone && w.now-began < 60*time.Second {
+			w.run(w.now + time.Second)
+		}
+		if !m.gone {
+			t.Errorf("seed %d: the faulty machine %s is kept", seed, m.id)
+		}
+		w.run(w.now + 100*time.Second)
+		w.mustKeepRules(t)
+	}
+}
+
+// TestFaultyJobIsNotBlamedOnMachines: a job that fails everywhere is retried with
+// few slots, and no machine goes for it.
+func TestFaultyJobIsNotBlamedOnMachines(t *testing.T) {
+	w := newWorld(1, standardWorld())
+	spec := func() map[string]any {
+		return map[string]any{"docket": "x", "crew": "blue", "form": "batch", "urgency": "urgent",
+			"sheets": 30, "cores": 2.0, "accelerators": 0.0, "ramGb": 2.0, "loaners": true, "reckonS": 5.0}
+	}
+	bad := w.user("job-000001", spec(), 5)
+	bad.bad = true
+	for i := 2; i < 8; i++ {
+		w.user(fmt.Sprintf("job-%06d", i), spec(), 5)
+	}
+	w.run(100 * time.Second)
+	started := w.starts
+	w.run(160 * time.Second)
+	if n := w.starts - started; n == 0 || n > 20 {
+		t.Errorf("%d attempts of a faulty job in a minute", n)
+	}
+	for _, n := range w.nodes {
+		for _, m := range n.core.pool.Machines {
+			if m.Faulty {
+				t.Errorf("%s was blamed", m.ID)
+			}
+		}
+	}
+	w.cancel(bad)
+	w.run(200 * time.Second)
+	w.mustKeepRules(t)
+	w.mustFinish(t)
+}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -203,7 +203,7 @@
 	m.Strikes++
 	m.StruckBy[j.ID] = true
 	if !m.Draining && (m.Strikes >= limits.StrikesOut && (len(m.StruckBy) > 1 || j.Succeeded)) {
-		m.Draining = true
+		m.Draining, m.Faulty = true, true
 		c.log("info", "machine fails its tasks", "machine", m.ID, "strikes", m.Strikes)
 	}
 }
@@ -254,7 +254,8 @@
 				c.remove(m, "silent")
 			}
 		}
-		if m.Draining && !m.Deleting && m.Adopted && len(c.on[m.ID]) == 0 && c.own.MayLaunch() && !c.holdsResults(m) {
+		// A faulty machine goes with what it runs, which would fail as well.
+		if m.Draining && !m.Deleting && m.Adopted && (m.Faulty || len(c.on[m.ID]) == 0) && c.own.MayLaunch() && !c.holdsResults(m) {
 			c.remove(m, "drained")
 		}
 		// Plans for a machine that went quiet are taken back: nothing was sent.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -123,7 +123,7 @@
 	TakeoverHeard = 0.6
 	// BootFactor times the nominal boot time plus BootSlack: after that a
 	// booting machine is given up.
-	BootFactor = 3.0
+	BootFactor = 2.0
 	// BootSlack is added to the time for booting, for lists that lag.
 	BootSlack = 10 * time.Second
 	// IdleBoots is how long a machine may be idle before it is returned, in
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -30,6 +30,7 @@
 	Lost     bool          // its lease is over: nothing is left on it
 	Deleting bool          // the cloud was asked to delete it
 	Draining bool          // gets no new tasks
+	Faulty   bool          // fails the tasks that it starts
 	Recall   time.Duration // when the cloud takes it away; 0: not announced
 
 	Tasks  []wire.TaskReport // as last reported
