Jobs that can still meet a target go by least slack; hopeful means the whole estimate fits

Cause: least work first let larger jobs slip past targets they could have met, and jobs with less than their estimate left took room from jobs that could make it.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -71,19 +71,23 @@
 }
 
 // sortedJobs lists the active jobs: by urgency; then those that can still meet
-// a target before those that can't; then the least work left, since a target
-// met is a job, whatever its size.
+// a target, least slack first; then the others, least work left first, so that
+// of what is late anyway the most jobs are over soon.
 func (c *Core) sortedJobs() []*jobs.Job {
 	type ranked struct {
 		*jobs.Job
 		hopeful bool
-		work    float64
+		key     float64
 	}
 	var list []ranked
 	for _, j := range c.book.Open {
 		if j.Active {
-			_, hopeful := c.left(j)
-			list = append(list, ranked{j, hopeful, work(j)})
+			left, hopeful := c.left(j)
+			key := work(j)
+			if hopeful {
+				key = left - j.EstimateS
+			}
+			list = append(list, ranked{j, hopeful, key})
 		}
 	}
 	sort.Slice(list, func(a, b int) bool {
@@ -94,8 +98,8 @@
 		if x.hopeful != y.hopeful {
 			return x.hopeful
 		}
-		if x.work != y.work {
-			return x.work < y.work
+		if x.key != y.key {
+			return x.key < y.key
 		}
 		return x.ID < y.ID
 	})
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -193,10 +193,9 @@
 
 // The order of work.
 const (
-	// HopefulPart of its estimate is the least that a task is reckoned to run
-	// when it is asked whether a job can still meet a target: estimates are
-	// often wrong by half.
-	HopefulPart = 0.6
+	// HopefulPart of its estimate is what a task is reckoned to run at least when
+	// it is asked whether a job can still meet a target.
+	HopefulPart = 1.0
 )
 
 // The process.
