--- a/internal/allocation/allocation.go
+++ b/internal/allocation/allocation.go
@@ -43,7 +43,7 @@
 	OneZone bool
 	Spread  bool
 	Tasks   int            // all tasks of the job
-	ByZone  map[string]int // its placed tasks by zone; changed by Run
+	ByZone  map[string]int // its placed tasks by zone, for OneZone and Spread; changed by Run
 	Avoid   map[string]bool
 	Safe    bool // better not on a spot machine
 }
@@ -170,7 +170,9 @@
 			m.Images[u.Image] = true
 		}
 		u.Count--
-		u.ByZone[m.Zone]++
+		if u.ByZone != nil {
+			u.ByZone[m.Zone]++
+		}
 		t.Booked[m.Class] = t.Booked[m.Class].Add(u.Need, 1)
 		s.total = s.total.Add(u.Need, 1)
 		s.share = Share(t.Booked, capacity)
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -144,12 +144,17 @@
 	pool  *workers.Pool
 	fleet *fleet.Manager
 
-	active    map[string]uint64            // class -> term that we act on
-	on        map[string]map[string]placed // machine -> task id -> placed
-	roster    map[string]rosterEntry
-	writing   map[string]bool // roster keys being written
-	counter   uint64          // attempts given out
-	dirty     bool            // the allocation has something new to decide on
+	active  map[string]uint64            // class -> term that we act on
+	on      map[string]map[string]placed // machine -> task id -> placed
+	roster  map[string]rosterEntry
+	writing map[string]bool // roster keys being written
+	counter uint64          // attempts given out
+	regroup bool            // what decides on Active and Frozen may have changed
+	// The order of jobs, kept for a moment.
+	sorted    []*jobs.Job
+	sortedAt  time.Duration
+	resort    bool
+	dirty     bool // the allocation has something new to decide on
 	order     uint64
 	nextRun   time.Duration
 	nextTell  time.Duration
@@ -268,7 +273,7 @@
 		c.own.Apply(ch)
 		c.book.Apply(ch)
 		c.applyRoster(ch)
-		c.dirty = true
+		c.dirty, c.regroup = true, true
 	}
 }
 
@@ -326,7 +331,7 @@
 		}
 		c.active[class] = cl.Term
 		c.waiting[class] = true
-		c.dirty = true
+		c.dirty, c.regroup = true, true
 		for id, e := range c.roster {
 			if e.Class == class {
 				if e.Up {
@@ -355,7 +360,7 @@
 			delete(c.fleet.Rentals, id)
 		}
 	}
-	c.dirty = true
+	c.dirty, c.regroup = true, true
 }
 
 // clearMachine takes all places on a machine away.
@@ -364,16 +369,17 @@
 		p.job.Unplace(p.task)
 	}
 	delete(c.on, id)
-	c.dirty = true
+	c.dirty, c.regroup = true, true
 }
 
 // activateJobs marks the jobs whose classes we all own. A job that an earlier
 // owner may have launched is frozen until every machine in the roster that
 // could run it is resolved.
 func (c *Core) activateJobs() {
-	if !c.dirty {
+	if !c.regroup {
 		return
 	}
+	c.regroup, c.resort = false, true
 	unresolved := map[string]bool{}
 	for id, m := range c.pool.Machines {
 		if c.roster[id].Up && !m.Resolved() {
@@ -511,7 +517,7 @@
 			}
 		}
 		clear(c.writing)
-		c.dirty = true
+		c.dirty, c.regroup = true, true
 	})
 }
 
@@ -519,7 +525,7 @@
 func (c *Core) machineGone(id string) {
 	c.clearMachine(id)
 	c.pool.Drop(id)
-	c.dirty = true
+	c.dirty, c.regroup = true, true
 }
 
 func (c *Core) tellPeers() {
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -30,6 +30,7 @@
 		reply(503, nil)
 		return
 	}
+	adopted := c.pool.Machines[r.Machine] != nil && c.pool.Machines[r.Machine].Adopted
 	recalled := c.pool.Machines[r.Machine] != nil && c.pool.Machines[r.Machine].Recall != 0
 	m, v := c.pool.Hear(c.now.Steady, r, term, c.own.Claims()[r.Type].Since)
 	switch v {
@@ -38,6 +39,7 @@
 		reply(503, nil)
 		return
 	}
+	c.regroup = c.regroup || m.Adopted != adopted
 	if m.Recall != 0 && !recalled && m.Spot {
 		c.fleet.SpotLost()
 	}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -74,6 +74,10 @@
 // a target, least slack first; then the others, least work left first, so that
 // of what is late anyway the most jobs are over soon.
 func (c *Core) sortedJobs() []*jobs.Job {
+	if !c.resort && c.now.Steady < c.sortedAt+limits.SortEvery {
+		return c.sorted
+	}
+	c.resort, c.sortedAt = false, c.now.Steady
 	type ranked struct {
 		*jobs.Job
 		hopeful bool
@@ -103,11 +107,11 @@
 		}
 		return x.ID < y.ID
 	})
-	out := make([]*jobs.Job, len(list))
+	c.sorted = make([]*jobs.Job, len(list))
 	for i := range list {
-		out[i] = list[i].Job
+		c.sorted[i] = list[i].Job
 	}
-	return out
+	return c.sorted
 }
 
 // view builds the allocation's input: room from reports, amounts booked, and
@@ -155,11 +159,13 @@
 		byTeam[ct.Name] = at
 		teams = append(teams, at)
 	}
+	shared := map[string]bool{} // teams with jobs that others own
 	for _, j := range c.book.Open {
 		at := byTeam[j.Team]
 		if at == nil {
 			continue
 		}
+		shared[j.Team] = shared[j.Team] || !j.Active
 		for _, p := range j.Placed {
 			if m := c.pool.Machines[p.Machine]; m != nil {
 				at.Booked[m.Class] = at.Booked[m.Class].Add(need(j), 1)
@@ -172,7 +178,7 @@
 	for _, at := range teams {
 		// What can't be seen fits on the machines that can't be seen, as long
 		// as all of the team's jobs are ours.
-		if c.allOurs(at.Name) {
+		if !shared[at.Name] {
 			at.Unknown.CPUs = min(at.Unknown.CPUs, unseen.CPUs)
 			at.Unknown.GPUs = min(at.Unknown.GPUs, unseen.GPUs)
 		}
@@ -180,21 +186,21 @@
 	for _, j := range c.sortedJobs() {
 		at := byTeam[j.Team]
 		n := j.Waiting()
-		if at == nil || n <= 0 || j.Cancelled || j.Frozen {
+		if at == nil || n <= 0 || j.Cancelled || j.Frozen || c.book.Open[j.ID] != j {
 			continue
 		}
 		if !all && (!j.Prepared || t < j.NotBefore) {
 			continue
 		}
-		u := &allocation.Unit{Job: j.ID, Need: need(j), Count: n, Image: j.Image, Classes: map[string]bool{}, Zone: j.Zone, Spot: j.Spot,
-			OneZone: j.OneZone, Spread: j.Spread, Tasks: j.Tasks, ByZone: map[string]int{},
+		u := &allocation.Unit{Job: j.ID, Need: need(j), Count: n, Image: j.Image, Classes: j.TypeSet, Zone: j.Zone, Spot: j.Spot,
+			OneZone: j.OneZone, Spread: j.Spread, Tasks: j.Tasks,
 			Safe: j.CheckS <= 0 && j.DeadlineS > 0 && c.fleet.SpotRisk(j.EstimateS) > limits.SafeRisk}
-		for _, class := range j.Types {
-			u.Classes[class] = true
-		}
-		for _, p := range j.Placed {
-			if m := c.pool.Machines[p.Machine]; m != nil {
-				u.ByZone[m.Zone]++
+		if j.OneZone || j.Spread {
+			u.ByZone = map[string]int{}
+			for _, p := range j.Placed {
+				if m := c.pool.Machines[p.Machine]; m != nil {
+					u.ByZone[m.Zone]++
+				}
 			}
 		}
 		if j.Faulty() {
@@ -223,15 +229,6 @@
 	return out
 }
 
-func (c *Core) allOurs(team string) bool {
-	for _, j := range c.book.Open {
-		if j.Team == team && !j.Active {
-			return false
-		}
-	}
-	return true
-}
-
 // allocate plans tasks onto machines. The plans go out with the next answer to
 // each machine's report.
 func (c *Core) allocate() {
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -75,6 +75,7 @@
 	Placed    map[int]Place
 	scan      int
 	Class0    string // a class of the job, for the owner's guard
+	TypeSet   map[string]bool
 
 	Active   bool // this node owns the job's classes
 	Prepared bool // part 0 is written: tasks may be launched
@@ -168,6 +169,7 @@
 	finalOrder []string
 
 	asks      []*ask
+	pending   []*ask // questions not answered yet, waiting or under way
 	asking    bool
 	nextAsk   time.Duration
 	submits   []*submit
@@ -175,6 +177,7 @@
 	byRef     map[string]*submit
 	flushAt   map[string]time.Duration
 	nextFlush time.Duration
+	nextLook  time.Duration
 	orphans   map[string]bool // keys of done sets without a job
 	sweeping  bool
 
@@ -216,6 +219,10 @@
 		if len(spec.Types) > 0 {
 			j.Class0 = spec.Types[0]
 		}
+		j.TypeSet = make(map[string]bool, len(spec.Types))
+		for _, t := range spec.Types {
+			j.TypeSet[t] = true
+		}
 		b.Open[id] = j
 		// Keys sort so that c/ comes before o/: a mark read earlier counts now.
 		if _, ok := b.store.Mirror.Get(keyCancel + id); ok {
@@ -332,11 +339,13 @@
 	if now > b.now {
 		b.now = now
 	}
+	b.expire()
 	b.sendSubmits()
 	b.sendAsks()
-	if !may {
+	if !may || b.now < b.nextLook {
 		return
 	}
+	b.nextLook = b.now + limits.LookEvery
 	flush := b.now >= b.nextFlush
 	if flush {
 		b.sweep()
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -144,6 +144,38 @@
 	}
 }
 
+// TestQuestionsAreAnsweredInTime: the state service is silent, and each user is
+// told to come back before its own limit of 2 s.
+func TestQuestionsAreAnsweredInTime(t *testing.T) {
+	b := newBench(t)
+	answered := map[string]time.Duration{}
+	began := map[string]time.Duration{}
+	for i := 0; i < 10; i++ {
+		id := fmt.Sprintf("job-%d", i)
+		began[id] = b.now
+		b.book.Query(b.now, id, func(a Answer) {
+			if a.Status != 503 {
+				t.Errorf("%s: %d without an answer of the state service", id, a.Status)
+			}
+			answered[id] = b.now
+		})
+		for k := 0; k < 3; k++ {
+			b.tick()
+		}
+	}
+	for k := 0; k < 30; k++ {
+		b.tick()
+	}
+	for id, at := range began {
+		if took := answered[id] - at; answered[id] == 0 || took > 1900*time.Millisecond {
+			t.Errorf("%s was answered after %v", id, took)
+		}
+	}
+	if b.book.waiting != 0 {
+		t.Errorf("%d requests still counted as waiting", b.book.waiting)
+	}
+}
+
 func TestDoneIsTakenBackByACancellation(t *testing.T) {
 	b := newBench(t)
 	j := b.open("job-1", 1, 5)
--- a/internal/jobs/users.go
+++ b/internal/jobs/users.go
@@ -32,6 +32,7 @@
 	id     string
 	until  time.Duration
 	answer func(Answer)
+	over   func() bool
 	cancel bool
 }
 
@@ -172,9 +173,34 @@
 		return
 	}
 	b.waiting++
-	inner := a.answer
-	a.answer = func(x Answer) { b.waiting--; inner(x) }
+	inner, over := a.answer, false
+	a.answer = func(x Answer) {
+		if !over {
+			over = true
+			b.waiting--
+			inner(x)
+		}
+	}
+	a.over = func() bool { return over }
 	b.asks = append(b.asks, a)
+	b.pending = append(b.pending, a)
+}
+
+// expire answers the questions whose time is up, whether they wait or are under
+// way: guards against users who hang until their own limit because one request
+// to the state service got no answer.
+func (b *Book) expire() {
+	kept := b.pending[:0]
+	for _, a := range b.pending {
+		if !a.over() && b.now >= a.until {
+			a.answer(Later())
+		}
+		if !a.over() {
+			kept = append(kept, a)
+		}
+	}
+	clear(b.pending[len(kept):])
+	b.pending = kept
 }
 
 // sendAsks compares the versions of many jobs' keys in one transaction that
@@ -189,6 +215,9 @@
 	for len(b.asks) > 0 && len(t.Guards)+2 <= b.store.TxnGuards {
 		a := b.asks[0]
 		b.asks = b.asks[1:]
+		if a.over() {
+			continue
+		}
 		if a.cancel && b.Open[a.id] != nil {
 			b.cancel(a, b.Open[a.id].version)
 			continue
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -84,6 +84,12 @@
 	ChunkTasks = 16384
 	// BatchEvery is the pause between two writes of done bits (design).
 	BatchEvery = 2 * time.Second
+	// LookEvery is how often an owner looks through its jobs for what is to be
+	// written: at every event it would take most of a small processor share.
+	LookEvery = 50 * time.Millisecond
+	// SortEvery is how long the order of jobs is kept when nothing was submitted
+	// or ended; only the passing of time changes it then.
+	SortEvery = 500 * time.Millisecond
 	// MirrorPage is the page size when the mirror is read.
 	MirrorPage = 500
 )
