--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -72,7 +72,9 @@
 
 // sortedJobs lists the active jobs: by urgency; then those that can still meet
 // a target, least slack first; then the others, least work left first, so that
-// of what is late anyway the most jobs are over soon.
+// of what is late anyway the most jobs are over soon. When there is far more
+// work than room, least slack first would only make one job after the other
+// late: then the least work goes first among the former as well.
 func (c *Core) sortedJobs() []*jobs.Job {
 	if !c.resort && c.now.Steady < c.sortedAt+limits.SortEvery {
 		return c.sorted
@@ -84,14 +86,26 @@
 		key     float64
 	}
 	var list []ranked
+	demand := 0.0
 	for _, j := range c.book.Open {
 		if j.Active {
 			left, hopeful := c.left(j)
-			key := work(j)
+			list = append(list, ranked{j, hopeful, left - j.EstimateS})
 			if hopeful {
-				key = left - j.EstimateS
+				demand += work(j)
 			}
-			list = append(list, ranked{j, hopeful, key})
+		}
+	}
+	room := 0.0
+	for _, m := range c.pool.Machines {
+		if t := c.fleet.Types[m.Class]; t != nil && m.Adopted {
+			room += t.CPUs
+		}
+	}
+	crowded := demand > room*limits.CrowdedFor.Seconds()
+	for i := range list {
+		if !list[i].hopeful || crowded {
+			list[i].key = work(list[i].Job)
 		}
 	}
 	sort.Slice(list, func(a, b int) bool {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -202,6 +202,9 @@
 	// HopefulPart of its estimate is what a task is reckoned to run at least when
 	// it is asked whether a job can still meet a target.
 	HopefulPart = 1.0
+	// CrowdedFor is how long the machines would be busy with the work that can
+	// still meet a target before the least work goes first.
+	CrowdedFor = 120 * time.Second
 )
 
 // The process.
