--- a/internal/controller/world_run_test.go
+++ b/internal/controller/world_run_test.go
@@ -191,12 +191,7 @@
 // of the running machines went that way with every controller that ended.
 func TestTakeoverKeepsMachines(t *testing.T) {
 	for seed := uint64(1); seed <= 5; seed++ {
-		w := newWorld(seed, standardWorld())
-		for i := 0; i < 12; i++ {
-			w.user(fmt.Sprintf("job-%06d", i), map[string]any{"docket": "x", "crew": "blue", "form": "batch", "urgency": "standard",
-				"sheets": 8, "cores": 4.0, "accelerators": 0.0, "ramGb": 4.0, "loaners": true, "reckonS": 90.0}, 90)
-		}
-		w.run(60 * time.Second)
+		w := busyWorld(seed)
 		before := map[string]bool{}
 		for id, m := range w.machines {
 			if m.up && !m.gone && len(m.tasks) > 0 {
@@ -273,3 +268,68 @@
 		})
 	}
 }
+
+// busyWorld has long tasks running everywhere after a minute.
+func busyWorld(seed uint64) *world {
+	w := newWorld(seed, standardWorld())
+	for i := 0; i < 12; i++ {
+		w.user(fmt.Sprintf("job-%06d", i), map[string]any{"docket": "x", "crew": "blue", "form": "batch", "urgency": "standard",
+			"sheets": 8, "cores": 4.0, "accelerators": 0.0, "ramGb": 4.0, "loaners": true, "reckonS": 90.0}, 90)
+	}
+	w.run(60 * time.Second)
+	return w
+}
+
+// sessions counts the sessions that ended with tasks lost.
+func (w *world) sessions() (ended int) {
+	for _, m := range w.machines {
+		if !m.gone {
+			ended += int(m.session) - 1
+		}
+	}
+	return ended
+}
+
+// TestWorkSurvivesALongOutage: an outage of the state service that is longer than
+// the controllers' and the workers' leases together costs no running task, since
+// the controllers promise each other not to take over.
+func TestWorkSurvivesALongOutage(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		w := busyWorld(seed)
+		w.store.setOutage(true)
+		w.run(100 * time.Second)
+		w.store.setOutage(false)
+		w.run(110 * time.Second)
+		w.mustKeepRules(t)
+		if n := w.sessions(); n > 0 {
+			t.Errorf("seed %d: %d machines lost their tasks", seed, n)
+		}
+	}
+}
+
+// TestOwnerRefusedAloneIsReplaced: if only the owner gets 503, its peers promise
+// nothing, it stops answering, and another takes over before workers lose tasks.
+func TestOwnerRefusedAloneIsReplaced(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		w := busyWorld(seed)
+		owner := -1
+		for i, n := range w.nodes {
+			if len(n.core.active) > 0 {
+				owner = i
+			}
+		}
+		w.store.refuse[owner] = true
+		w.run(75 * time.Second)
+		w.mustKeepRules(t)
+		if w.nodes[owner].core.own.MayAnswer() {
+			t.Errorf("seed %d: the refused owner may still answer", seed)
+		}
+		replaced := false
+		for i, n := range w.nodes {
+			replaced = replaced || (i != owner && len(n.core.active) > 0)
+		}
+		if !replaced || w.sessions() > 0 {
+			t.Errorf("seed %d: replaced %v, %d machines lost their tasks", seed, replaced, w.sessions())
+		}
+	}
+}
