--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -106,12 +107,17 @@
 		w.run(40 * time.Second)
 		m := w.liveMachine()
 		m.sick = true
-		began := w.now
-		for !m.gone && w.now-began < 60*time.Second {
-			w.run(w.now + time.Second)
+		judged := time.Duration(0)
+		w.trace = func(f string, a ...any) {
+			if line := fmt.Sprintf(f, a...); strings.Contains(line, "machine fails its tasks") && strings.Contains(line, m.id) {
+				judged = w.now
+			}
+		}
+		for end := w.now + 60*time.Second; !m.gone && w.now < end; {
+			w.run(w.now + 500*time.Millisecond)
 		}
-		if !m.gone {
-			t.Errorf("seed %d: the faulty machine %s is kept", seed, m.id)
+		if judged == 0 || !m.gone || w.now-judged > 4*time.Second {
+			t.Errorf("seed %d: %s judged at %v, gone %v at %v", seed, m.id, judged, m.gone, w.now)
 		}
 		w.run(w.now + 100*time.Second)
 		w.mustKeepRules(t)
