--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -155,7 +155,6 @@
 	sortedAt  time.Duration
 	resort    bool
 	dirty     bool // the allocation has something new to decide on
-	order     uint64
 	nextRun   time.Duration
 	nextTell  time.Duration
 	nextPlan  time.Duration
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -348,12 +348,11 @@
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
-			var ne net.Error
-			if errors.As(err, &ne) && ne.Temporary() { // no socket free: others will close
-				time.Sleep(limits.TickEvery)
-				continue
+			if errors.Is(err, net.ErrClosed) {
+				return nil, err
 			}
-			return nil, err
+			time.Sleep(limits.TickEvery) // no socket free: others will close
+			continue
 		}
 		if l.s.conns.Load() >= l.s.full {
 			c.Close()
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -650,7 +650,6 @@
 	attempt uint64
 	state   string
 	cause   string
-	gen     int
 	began   time.Duration
 }
 type simMachine struct {
@@ -673,7 +672,6 @@
 	inFlight bool
 	nextAt   time.Duration
 	lastSent time.Duration
-	gen      int
 }
 
 func (m *simMachine) lease() time.Duration {
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -9,7 +9,6 @@
 package jobs
 
 import (
-	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -171,7 +170,6 @@
 	asks      []*ask
 	pending   []*ask // questions not answered yet, waiting or under way
 	asking    bool
-	nextAsk   time.Duration
 	submits   []*submit
 	waiting   int
 	byRef     map[string]*submit
@@ -459,7 +457,3 @@
 	}
 	return s
 }
-
-func (b *Book) String() string {
-	return fmt.Sprintf("%d open jobs, %d waiting requests", len(b.Open), b.waiting)
-}
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -59,7 +59,6 @@
 	path   string
 	body   any
 	writes int
-	tries  int
 	until  time.Duration // dropped unsent after this
 	done   func(Reply)
 }
@@ -86,7 +85,6 @@
 type Store struct {
 	now       time.Duration
 	rps, wps  float64
-	share     float64
 	reqs      bucket
 	writes    bucket
 	queues    [priorities][]*request
@@ -113,7 +111,6 @@
 
 // Share sets which part of the budget this node may use.
 func (s *Store) Share(part float64) {
-	s.share = part
 	s.reqs.rate = max(3, s.rps*part*limits.BudgetUse)
 	s.writes.rate = max(1, s.wps*part*limits.BudgetUse)
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -61,7 +61,7 @@
 	Saved   bool   `msgpack:"kept"`
 }
 
-// Report is what a worker sends, also as the body of /orders and /status.
+// Report is what a worker sends.
 type Report struct {
 	Machine string       `msgpack:"hut"`
 	Address string       `msgpack:"address"`
@@ -89,13 +89,6 @@
 	Commands []Command `msgpack:"orders"`
 }
 
-// Orders is a direct command message.
-type Orders struct {
-	Token    uint64    `msgpack:"baton"`
-	Session  uint64    `msgpack:"shift"`
-	Commands []Command `msgpack:"orders"`
-}
-
 // Redirect answers a report at the wrong node.
 type Redirect struct {
 	Owner string `msgpack:"steward,omitempty"`
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -45,7 +45,6 @@
 	Lease    time.Duration
 	Report   time.Duration
 	Machines map[string]*Machine
-	now      time.Duration
 }
 
 // New makes an empty pool.
