--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -241,6 +241,7 @@
 	for _, m := range c.pool.Machines {
 		heard = max(heard, m.Heard)
 	}
+	many := c.manySilent()
 	for _, m := range c.pool.Sorted() {
 		if !m.Lost && c.pool.Expired(m, t) {
 			m.Lost = true
@@ -248,7 +249,8 @@
 			c.log("info", "machine's lease is over", "machine", m.ID, "tasks", len(c.on[m.ID]))
 			c.clearMachine(m.ID)
 		}
-		if !m.Deleting && c.silent(m, heard) && c.own.MayLaunch() {
+		patient := many && !m.Spot && t-m.Heard < limits.ManyLeases*c.pool.Lease
+		if !m.Deleting && !patient && c.silent(m, heard) && c.own.MayLaunch() {
 			if r := c.fleet.Know(m.ID, fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, m.Heard); r != nil && (r.Up || m.Lost || r.Listed == wire.MachineRunning || t-r.Since > c.bootTime(m.Class)) {
 				if m.Spot && m.Recall == 0 {
 					c.fleet.SpotLost()
@@ -273,6 +275,24 @@
 	}
 }
 
+// manySilent tells whether many ordinary machines are silent at once. Nobody takes
+// those back, so they hang or are cut off and may go on, some within their
+// lease; deleted, they may not be had again. Guards against an incident in which
+// half the fleet was returned 11 s into such a silence.
+func (c *Core) manySilent() bool {
+	all, silent := 0, 0
+	for _, m := range c.pool.Machines {
+		if m.Spot || m.Deleting {
+			continue
+		}
+		all++
+		if c.now.Steady-m.Heard > c.pool.Report*5/4+limits.TakeoverSlack {
+			silent++
+		}
+	}
+	return silent >= limits.ManyLeast && float64(silent) > limits.ManyPart*float64(all)
+}
+
 // silent tells whether a machine is given up for its silence: a deletion proves
 // it empty sooner than its lease would. Not when all are silent, for then the
 // fault is ours. After a takeover the jobs of an earlier owner wait for every
--- a/internal/controller/world_run_test.go
+++ b/internal/controller/world_run_test.go
@@ -333,3 +333,28 @@
 		}
 	}
 }
+
+// TestManyHangingMachinesAreKept: half of the ordinary machines hang for most of
+// their lease and go on; none is returned, and no task is lost.
+func TestManyHangingMachinesAreKept(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		w := busyWorld(seed)
+		var hung []*simMachine
+		for _, id := range sortedKeys(w.machines) {
+			if m := w.machines[id]; m.up && !m.gone && !m.kind.Spot && len(hung) < 4 {
+				m.hang(11 * time.Second)
+				hung = append(hung, m)
+			}
+		}
+		if len(hung) < 4 {
+			t.Fatalf("seed %d: only %d ordinary machines", seed, len(hung))
+		}
+		w.run(80 * time.Second)
+		w.mustKeepRules(t)
+		for _, m := range hung {
+			if m.gone || m.session > 1 {
+				t.Errorf("seed %d: %s gone %v, session %d", seed, m.id, m.gone, m.session)
+			}
+		}
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -127,6 +127,12 @@
 	// TakeoverHeard is the part of the machines that must have found the new
 	// owner before the others are taken for dead rather than cut off.
 	TakeoverHeard = 0.6
+	// ManyLeast and ManyPart are from how many, and what part, of the ordinary
+	// machines on a common silence is taken for a cut or a hang that may end;
+	// ManyLeases is how many leases it may last.
+	ManyLeast  = 3
+	ManyPart   = 0.2
+	ManyLeases = 2
 	// BootFactor times the nominal boot time plus BootSlack: after that a
 	// booting machine is given up.
 	BootFactor = 2.0
