--- /dev/null
+++ b/internal/allocation/allocation.go
@@ -0,0 +1,185 @@
+// Package allocation is the online algorithm of UDRF (paper, III-C): as long as
+// any unit fits, it starts one for the team with the lowest dominant share. It
+// is pure: the same input gives the same placements.
+package allocation
+
+import "math"
+
+// Res is an amount of each resource of a machine.
+type Res struct{ CPUs, GPUs, Memory float64 }
+
+const eps = 1e-6
+
+// Fits tells whether a is available in b.
+func (a Res) Fits(b Res) bool {
+	return a.CPUs <= b.CPUs+eps && a.GPUs <= b.GPUs+eps && a.Memory <= b.Memory+eps
+}
+
+// Add returns a + n*b.
+func (a Res) Add(b Res, n float64) Res {
+	return Res{a.CPUs + n*b.CPUs, a.GPUs + n*b.GPUs, a.Memory + n*b.Memory}
+}
+
+// Machine is a machine with room.
+type Machine struct {
+	ID     string
+	Class  string
+	Zone   string
+	Spot   bool
+	Free   Res
+	Images map[string]bool
+}
+
+// Unit is a job's waiting tasks, which are all alike.
+type Unit struct {
+	Job     string
+	Need    Res
+	Count   int
+	Image   string
+	Classes map[string]bool
+	Zone    string // the only zone allowed, or empty
+	Spot    bool   // spot machines allowed
+	OneZone bool
+	Spread  bool
+	Tasks   int            // all tasks of the job
+	ByZone  map[string]int // its placed tasks by zone; changed by Run
+	Avoid   map[string]bool
+}
+
+func (u *Unit) allows(m *Machine) bool {
+	if !u.Classes[m.Class] || (m.Spot && !u.Spot) || (u.Zone != "" && u.Zone != m.Zone) || u.Avoid[m.ID] {
+		return false
+	}
+	if u.OneZone {
+		for z, n := range u.ByZone {
+			if n > 0 && z != m.Zone {
+				return false
+			}
+		}
+	}
+	return !u.Spread || u.ByZone[m.Zone] < (u.Tasks+1)/2
+}
+
+// Team is a team's claim: what it has booked, its bounds, and its units in the
+// order in which it wants them.
+type Team struct {
+	Name      string
+	Booked    map[string]Res // by class
+	Unknown   Res            // may be running where we can't see it: counts against the limit
+	MaxCPUs   float64        // 0: none
+	MaxGPUs   float64
+	Guarantee Res // Memory unused; 0: none
+	Units     []*Unit
+}
+
+func (t *Team) total() Res {
+	r := t.Unknown
+	for _, b := range t.Booked {
+		r = r.Add(b, 1)
+	}
+	return r
+}
+
+func (t *Team) underLimit(total, need Res) bool {
+	return (t.MaxCPUs <= 0 || total.CPUs+need.CPUs <= t.MaxCPUs+eps) &&
+		(t.MaxGPUs <= 0 || total.GPUs+need.GPUs <= t.MaxGPUs+eps)
+}
+
+// guaranteed tells whether one more unit stays within the team's guarantee.
+func (t *Team) guaranteed(total, need Res) bool {
+	if t.Guarantee.CPUs <= 0 && t.Guarantee.GPUs <= 0 {
+		return false
+	}
+	return total.CPUs+need.CPUs <= t.Guarantee.CPUs+eps && (need.GPUs <= 0 || total.GPUs+need.GPUs <= t.Guarantee.GPUs+eps)
+}
+
+// Share is the team's dominant share: its largest booked part of any resource
+// of any class (paper, equation 12, with booked amounts for x*d).
+func Share(booked, capacity map[string]Res) float64 {
+	s := 0.0
+	part := func(b, c float64) {
+		if c > 0 {
+			s = math.Max(s, b/c)
+		}
+	}
+	for class, b := range booked {
+		c := capacity[class]
+		part(b.CPUs, c.CPUs)
+		part(b.GPUs, c.GPUs)
+		part(b.Memory, c.Memory)
+	}
+	return s
+}
+
+// Placement puts one task of a unit's job on a machine.
+type Placement struct {
+	Team    string
+	Unit    *Unit
+	Machine *Machine
+}
+
+// Run fills the machines. It changes Free, Booked, Count and ByZone as it goes.
+// A team whose next unit fits nowhere goes on with its next job of another
+// shape; with none left it is skipped. Teams below their guarantee come first:
+// the plain lowest share could leave them behind for want of capacity.
+func Run(teams []*Team, machines []*Machine, capacity map[string]Res) []Placement {
+	var out []Placement
+	type state struct {
+		next  int
+		total Res
+		share float64
+	}
+	st := make([]state, len(teams))
+	for i, t := range teams {
+		st[i] = state{total: t.total(), share: Share(t.Booked, capacity)}
+	}
+	for {
+		best, bestIn := -1, false
+		for i, t := range teams {
+			s := &st[i]
+			for s.next < len(t.Units) && (t.Units[s.next].Count <= 0 || !t.underLimit(s.total, t.Units[s.next].Need)) {
+				s.next++
+			}
+			if s.next >= len(t.Units) {
+				continue
+			}
+			in := t.guaranteed(s.total, t.Units[s.next].Need)
+			if best < 0 || (in && !bestIn) || (in == bestIn && s.share < st[best].share) {
+				best, bestIn = i, in
+			}
+		}
+		if best < 0 {
+			return out
+		}
+		t, s := teams[best], &st[best]
+		u := t.Units[s.next]
+		m := pick(u, machines)
+		if m == nil {
+			s.next++
+			continue
+		}
+		m.Free = m.Free.Add(u.Need, -1)
+		if u.Image != "" {
+			if m.Images == nil {
+				m.Images = map[string]bool{}
+			}
+			m.Images[u.Image] = true
+		}
+		u.Count--
+		u.ByZone[m.Zone]++
+		t.Booked[m.Class] = t.Booked[m.Class].Add(u.Need, 1)
+		s.total = s.total.Add(u.Need, 1)
+		s.share = Share(t.Booked, capacity)
+		out = append(out, Placement{t.Name, u, m})
+	}
+}
+
+// pick is first-fit.
+func pick(u *Unit, machines []*Machine) *Machine {
+	for _, m := range machines {
+		if u.Need.Fits(m.Free) && u.allows(m) {
+			return m
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,173 @@
+// Package config reads the platform's settings file and the operators' own
+// JSON file, and checks both.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"strconv"
+)
+
+// Settings is the platform's file.
+type Settings struct {
+	Label    string `json:"label"`
+	Location string `json:"location"`
+	APIAddr  string `json:"api_addr"`
+	PeerBind string `json:"peer_bind"`
+	Others   []Peer `json:"others"`
+	External struct {
+		Cloud string `json:"cloud"`
+		State string `json:"state"`
+	} `json:"external"`
+	Cluster Cluster `json:"cluster"`
+}
+
+// Peer is another controller.
+type Peer struct {
+	Label    string `json:"label"`
+	Location string `json:"location"`
+	Addr     string `json:"addr"`
+}
+
+// Cluster holds what all controllers share.
+type Cluster struct {
+	Size    int      `json:"size"`
+	Zones   []string `json:"zones"`
+	Teams   []Team   `json:"teams"`
+	Workers struct {
+		ReportS float64 `json:"report_s"`
+		LeaseS  float64 `json:"lease_s"`
+		CancelS float64 `json:"cancel_s"`
+	} `json:"workers"`
+	State struct {
+		RPS      float64 `json:"rps"`
+		WriteRPS float64 `json:"write_rps"`
+		ValueKB  float64 `json:"value_kb"`
+		TxnOps   int     `json:"txn_ops"`
+	} `json:"state"`
+	Cloud struct {
+		RPS      float64 `json:"rps"`
+		ListLagS float64 `json:"list_lag_s"`
+	} `json:"cloud"`
+	Resources struct {
+		CoreShare  float64 `json:"core_share"`
+		RAMMB      float64 `json:"ram_mb"`
+		MaxSockets int     `json:"max_sockets"`
+	} `json:"resources"`
+	ClockErrorMs float64 `json:"clock_error_ms"`
+}
+
+// Team has a guarantee and a limit; 0 means none of either.
+type Team struct {
+	Name    string  `json:"name"`
+	CPUs    float64 `json:"cpus"`
+	CPUsMax float64 `json:"cpus_max"`
+	GPUs    float64 `json:"gpus"`
+	GPUsMax float64 `json:"gpus_max"`
+}
+
+// FieldError names the setting that is wrong.
+type FieldError struct{ Field, Problem string }
+
+func (e *FieldError) Error() string { return fmt.Sprintf("setting %s: %s", e.Field, e.Problem) }
+
+// Load reads and checks the platform's file.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings file: %w", err)
+	}
+	return Parse(b)
+}
+
+// Parse checks the bytes of the platform's file.
+func Parse(b []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := json.Unmarshal(b, s); err != nil {
+		if te, ok := err.(*json.UnmarshalTypeError); ok && te.Field != "" {
+			return nil, &FieldError{te.Field, "wrong type: " + te.Value}
+		}
+		return nil, fmt.Errorf("settings file is not JSON: %w", err)
+	}
+	return s, s.check()
+}
+
+func (s *Settings) check() error {
+	if s.Label == "" {
+		return &FieldError{"label", "missing"}
+	}
+	for _, a := range []struct{ field, addr string }{
+		{"api_addr", s.APIAddr}, {"peer_bind", s.PeerBind},
+		{"external.cloud", s.External.Cloud}, {"external.state", s.External.State},
+	} {
+		if err := checkAddr(a.field, a.addr); err != nil {
+			return err
+		}
+	}
+	seen := map[string]bool{s.Label: true}
+	for i, p := range s.Others {
+		f := fmt.Sprintf("others[%d].", i)
+		if p.Label == "" || seen[p.Label] {
+			return &FieldError{f + "label", "missing or used twice"}
+		}
+		seen[p.Label] = true
+		if err := checkAddr(f+"addr", p.Addr); err != nil {
+			return err
+		}
+	}
+	c := &s.Cluster
+	if len(c.Teams) == 0 {
+		return &FieldError{"cluster.teams", "missing"}
+	}
+	names := map[string]bool{}
+	for i, t := range c.Teams {
+		f := fmt.Sprintf("cluster.teams[%d].", i)
+		if t.Name == "" || names[t.Name] {
+			return &FieldError{f + "name", "missing or used twice"}
+		}
+		names[t.Name] = true
+		for _, v := range []struct {
+			n string
+			v float64
+		}{{"cpus", t.CPUs}, {"cpus_max", t.CPUsMax}, {"gpus", t.GPUs}, {"gpus_max", t.GPUsMax}} {
+			if v.v < 0 || math.IsNaN(v.v) {
+				return &FieldError{f + v.n, "must not be negative"}
+			}
+		}
+	}
+	for _, v := range []struct {
+		n string
+		v float64
+	}{
+		{"cluster.workers.report_s", c.Workers.ReportS}, {"cluster.workers.lease_s", c.Workers.LeaseS},
+		{"cluster.workers.cancel_s", c.Workers.CancelS}, {"cluster.state.rps", c.State.RPS},
+		{"cluster.state.write_rps", c.State.WriteRPS}, {"cluster.state.value_kb", c.State.ValueKB},
+		{"cluster.cloud.rps", c.Cloud.RPS}, {"cluster.resources.ram_mb", c.Resources.RAMMB},
+		{"cluster.resources.max_sockets", float64(c.Resources.MaxSockets)},
+	} {
+		if !(v.v > 0) {
+			return &FieldError{v.n, "must be above 0"}
+		}
+	}
+	if c.State.TxnOps < 4 {
+		return &FieldError{"cluster.state.txn_ops", "must be at least 4"}
+	}
+	return nil
+}
+
+func checkAddr(field, addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return &FieldError{field, "want host:port"}
+	}
+	if net.ParseIP(host) == nil {
+		return &FieldError{field, "want an IP number as host"}
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
+		return &FieldError{field, "want a port from 1 to 65535"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controller/core.go
@@ -0,0 +1,541 @@
+// Package controller joins the slices: Core is the state machine that owns all
+// state, and Server is the loop and the sockets around it.
+package controller
+
+import (
+	"sort"
+	"time"
+
+	"umberpaddle/internal/config"
+	"umberpaddle/internal/fleet"
+	"umberpaddle/internal/jobs"
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/ownership"
+	"umberpaddle/internal/statestore"
+	"umberpaddle/internal/wire"
+	"umberpaddle/internal/workers"
+)
+
+// Now is the time that an input brings along.
+type Now struct {
+	Steady time.Duration // steady clock, from any origin
+	Unix   float64       // time of day in seconds
+}
+
+// Inputs of the core.
+type (
+	// Tick lets time pass.
+	Tick struct{}
+	// Submit is a submission; Query and Cancel are about a job.
+	Submit struct {
+		Ref  uint64
+		Body []byte
+	}
+	// Query asks for a job's state.
+	Query struct {
+		Ref uint64
+		ID  string
+	}
+	// Cancel cancels a job.
+	Cancel struct {
+		Ref uint64
+		ID  string
+	}
+	// Ready asks whether the node takes requests.
+	Ready struct{ Ref uint64 }
+	// Checkin is a worker's report.
+	Checkin struct {
+		Ref    uint64
+		Report *wire.Report
+	}
+	// StoreReply, CloudReply and PeerReply are what came of calls.
+	StoreReply struct {
+		ID     uint64
+		Status int
+		Body   []byte
+	}
+	// CloudReply is what came of a call to the cloud.
+	CloudReply struct {
+		ID     uint64
+		Status int
+		Body   []byte
+	}
+	// PeerReply is a peer's answer to a PeerCall.
+	PeerReply struct {
+		Peer string
+		Sent time.Duration
+		Yes  bool
+	}
+	// PeerRequest is a peer's PeerCall as it arrives here.
+	PeerRequest struct {
+		Ref uint64
+		Msg PeerMessage
+	}
+)
+
+// Outputs of the core.
+type (
+	// Answer answers the input with the same Ref.
+	Answer struct {
+		Ref        uint64
+		Status     int
+		Body       any
+		RetryAfter int
+	}
+	// Log is a line for the operator.
+	Log struct {
+		Level string
+		Msg   string
+		Args  []any
+	}
+	// PeerCall is a message to a peer.
+	PeerCall struct {
+		Peer string
+		Sent time.Duration
+		Msg  PeerMessage
+	}
+)
+
+// PeerMessage is what controllers tell each other: counts for display, or the
+// wish for a promise not to take over the given terms.
+type PeerMessage struct {
+	From    string
+	Promise bool
+	Terms   map[string]uint64
+	Counts  map[string][2]int
+}
+
+const (
+	keyRoster = statestore.Root + "r/"
+	keyType   = statestore.Root + "t/"
+)
+
+// rosterEntry is the durable record of a machine that may get tasks.
+type rosterEntry struct {
+	Class string  `msgpack:"c"`
+	Zone  string  `msgpack:"z"`
+	Spot  bool    `msgpack:"s,omitempty"`
+	At    float64 `msgpack:"at"` // time of day of the rental
+}
+
+// spot is a task's place as seen from its machine.
+type placed struct {
+	job  *jobs.Job
+	task int
+}
+
+// Core is the state machine. It has no clock, no I/O and no locks.
+type Core struct {
+	set   *config.Settings
+	ops   *config.Operator
+	now   Now
+	out   []any
+	teams map[string]*config.Team
+
+	store *statestore.Store
+	own   *ownership.Node
+	book  *jobs.Book
+	pool  *workers.Pool
+	fleet *fleet.Manager
+
+	active     map[string]uint64            // class -> term that we act on
+	on         map[string]map[string]placed // machine -> task id -> placed
+	roster     map[string]rosterEntry
+	writing    map[string]bool // roster keys being written
+	counter    uint64          // attempts given out
+	dirty      bool            // the allocation has something new to decide on
+	order      uint64
+	nextRun    time.Duration
+	nextTell   time.Duration
+	nextPlan   time.Duration
+	told       map[string][2]int
+	typesSaved map[string]bool
+}
+
+// NewCore makes the state machine. random names this life of the process.
+func NewCore(set *config.Settings, ops *config.Operator, now Now, random uint64) *Core {
+	c := &Core{set: set, ops: ops, now: now, teams: map[string]*config.Team{},
+		active: map[string]uint64{}, on: map[string]map[string]placed{}, roster: map[string]rosterEntry{},
+		writing: map[string]bool{}, told: map[string][2]int{}, typesSaved: map[string]bool{}}
+	for i := range set.Cluster.Teams {
+		c.teams[set.Cluster.Teams[i].Name] = &set.Cluster.Teams[i]
+	}
+	cl := &set.Cluster
+	c.store = statestore.New(cl.State.RPS, cl.State.WriteRPS, cl.State.TxnOps)
+	var others []string
+	for _, p := range set.Others {
+		others = append(others, p.Label)
+	}
+	c.own = ownership.New(set.Label, others, random, now.Steady, c.store, c.log)
+	c.book = jobs.New(c.store, c.log)
+	c.book.Guard = c.own.Guard
+	c.pool = workers.New(cl.Workers.LeaseS, cl.Workers.ReportS)
+	c.fleet = fleet.New(cl.Cloud.RPS, cl.Cloud.ListLagS, hirePrefix(set.Label, random), c.log)
+	c.fleet.Gone = c.machineGone
+	return c
+}
+
+func (c *Core) log(level, msg string, args ...any) {
+	c.out = append(c.out, Log{level, msg, args})
+}
+
+// Step takes one input and returns what to do about it.
+func (c *Core) Step(now Now, in any) []any {
+	if now.Steady > c.now.Steady {
+		c.now.Steady = now.Steady
+	}
+	c.now.Unix = now.Unix
+	t := c.now.Steady
+	switch x := in.(type) {
+	case Submit:
+		c.submit(x)
+	case Query:
+		c.query(x)
+	case Cancel:
+		c.cancel(x)
+	case Ready:
+		c.ready(x)
+	case Checkin:
+		c.checkin(x)
+	case StoreReply:
+		c.store.Reply(t, x.ID, x.Status, x.Body)
+	case CloudReply:
+		c.fleet.Reply(t, x.ID, x.Status, x.Body)
+	case PeerReply:
+		c.own.Promised(x.Peer, x.Sent, x.Yes)
+	case PeerRequest:
+		c.peer(x)
+	}
+	c.advance()
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Core) answer(ref uint64, a jobs.Answer) {
+	c.out = append(c.out, Answer{ref, a.Status, a.Body, a.RetryAfter})
+}
+
+// advance lets every slice do what is due, in the order in which they depend
+// on each other.
+func (c *Core) advance() {
+	t := c.now.Steady
+	c.follow()
+	c.share()
+	c.own.Tick(t, c.fleet.Classes(), c.demand)
+	c.followClaims()
+	c.manageMachines()
+	c.activateJobs()
+	may := c.own.MayLaunch()
+	if may && len(c.active) > 0 {
+		c.writeRoster()
+		c.allocate()
+		if t >= c.nextPlan {
+			c.nextPlan = t + limits.PlanEvery
+			c.planFleet()
+		}
+	}
+	c.book.Tick(t, may && len(c.active) > 0, func(j *jobs.Job) bool { return !j.Frozen })
+	c.tellPeers()
+	for _, call := range c.store.Tick(t) {
+		c.out = append(c.out, call)
+	}
+	for _, call := range c.fleet.Tick(t, may && len(c.active) > 0, len(c.own.Owners())) {
+		c.out = append(c.out, call)
+	}
+}
+
+// follow passes the mirror's changes to the slices.
+func (c *Core) follow() {
+	for _, ch := range c.store.Mirror.Take() {
+		c.own.Apply(ch)
+		c.book.Apply(ch)
+		c.applyRoster(ch)
+		c.dirty = true
+	}
+}
+
+// share divides the budget of the state service: an owner writes more than the
+// others, who only take in what users ask.
+func (c *Core) share() {
+	owners := c.own.Owners()
+	n := float64(len(c.set.Others) + 1)
+	weight := func(name string) float64 {
+		if owners[name] {
+			return limits.OwnerWeight
+		}
+		return 1
+	}
+	sum := weight(c.set.Label)
+	for _, p := range c.set.Others {
+		sum += weight(p.Label)
+	}
+	if len(owners) == 0 {
+		c.store.Share(1 / n)
+		return
+	}
+	c.store.Share(weight(c.set.Label) / sum)
+}
+
+// demand tells which classes each team's unfinished jobs may use. A cancelled
+// job counts until none of its tasks is left: it still takes of the limit.
+func (c *Core) demand() ownership.Demand {
+	d := ownership.Demand{}
+	for _, j := range c.book.Open {
+		set := d[j.Team]
+		if set == nil {
+			set = map[string]bool{}
+			d[j.Team] = set
+		}
+		for _, class := range j.Types {
+			set[class] = true
+		}
+	}
+	return d
+}
+
+// followClaims starts and ends acting for classes.
+func (c *Core) followClaims() {
+	claims := c.own.Claims()
+	for class, term := range c.active {
+		if cl := claims[class]; cl == nil || cl.Term != term {
+			delete(c.active, class)
+			c.leaveClass(class)
+		}
+	}
+	for class, cl := range claims {
+		if _, ok := c.active[class]; ok {
+			continue
+		}
+		c.active[class] = cl.Term
+		c.dirty = true
+		for id, e := range c.roster {
+			if e.Class == class {
+				c.pool.Expect(id, e.Class, e.Zone, e.Spot, cl.Since)
+				c.fleet.Know(id, fleet.Kind{Class: e.Class, Zone: e.Zone, Spot: e.Spot}, c.now.Steady-c.age(e.At))
+			}
+		}
+	}
+}
+
+// age converts a time of day to an age; clocks differ, so it is never negative.
+func (c *Core) age(unix float64) time.Duration {
+	return time.Duration(max(0, c.now.Unix-unix) * float64(time.Second))
+}
+
+func (c *Core) leaveClass(class string) {
+	for id, m := range c.pool.Machines {
+		if m.Class == class {
+			c.clearMachine(id)
+			c.pool.Drop(id)
+		}
+	}
+	for id, r := range c.fleet.Rentals {
+		if r.Kind.Class == class {
+			delete(c.fleet.Rentals, id)
+		}
+	}
+	c.dirty = true
+}
+
+// clearMachine takes all places on a machine away.
+func (c *Core) clearMachine(id string) {
+	for _, p := range c.on[id] {
+		p.job.Unplace(p.task)
+	}
+	delete(c.on, id)
+	c.dirty = true
+}
+
+// activateJobs marks the jobs whose classes we all own. A job that an earlier
+// owner may have launched is frozen until every machine in the roster that
+// could run it is resolved.
+func (c *Core) activateJobs() {
+	if !c.dirty {
+		return
+	}
+	unresolved := map[string]bool{}
+	for id, m := range c.pool.Machines {
+		if _, listed := c.roster[id]; listed && !m.Resolved() {
+			unresolved[m.Class] = true
+		}
+	}
+	for _, j := range c.book.Open {
+		all := len(j.Types) > 0
+		for _, class := range j.Types {
+			if _, ok := c.active[class]; !ok {
+				all = false
+			}
+		}
+		if all && !j.Active {
+			j.Frozen = j.Launched()
+			j.Prepared = false
+		}
+		j.Active = all
+		if !all || !j.Frozen {
+			continue
+		}
+		frozen := false
+		for _, class := range j.Types {
+			frozen = frozen || unresolved[class]
+		}
+		j.Frozen = frozen
+	}
+}
+
+func (c *Core) applyRoster(ch statestore.Change) {
+	switch {
+	case len(ch.Key) > len(keyRoster) && ch.Key[:len(keyRoster)] == keyRoster:
+		id := ch.Key[len(keyRoster):]
+		if ch.Removed {
+			delete(c.roster, id)
+			return
+		}
+		var e rosterEntry
+		if wire.Decode(ch.Entry.Value, &e) == nil {
+			c.roster[id] = e
+		}
+	case len(ch.Key) > len(keyType) && ch.Key[:len(keyType)] == keyType && !ch.Removed:
+		t := &wire.MachineType{}
+		if wire.Decode(ch.Entry.Value, t) == nil && t.Name != "" {
+			c.typesSaved[t.Name] = true
+			if c.fleet.Types[t.Name] == nil {
+				c.fleet.Types[t.Name] = t
+			}
+		}
+	}
+}
+
+// writeRoster records machines before their first launch, drops those that are
+// gone, and keeps the machine types for starts while the cloud is down.
+func (c *Core) writeRoster() {
+	if len(c.writing) > 0 {
+		return
+	}
+	var t wire.Txn
+	guards := map[string]bool{}
+	add := func(class, key string, op wire.Op) bool {
+		if len(t.Then) >= c.store.MaxWrites() {
+			return false
+		}
+		if !guards[class] {
+			guards[class] = true
+			t.Guards = append(t.Guards, c.own.Guard(class))
+		}
+		e, _ := c.store.Mirror.Get(key)
+		t.Guards = append(t.Guards, wire.Guard{Key: key, Version: e.Version})
+		t.Then = append(t.Then, op)
+		c.writing[key] = true
+		return true
+	}
+	for _, m := range c.pool.Sorted() {
+		if _, listed := c.roster[m.ID]; !listed && !m.Deleting && m.Adopted {
+			key := keyRoster + m.ID
+			at := c.now.Unix
+			if r := c.fleet.Rentals[m.ID]; r != nil {
+				at -= (c.now.Steady - r.Since).Seconds()
+			}
+			add(m.Class, key, wire.Op{Key: key, Value: rosterEntry{m.Class, m.Zone, m.Spot, at}})
+		}
+	}
+	ids := make([]string, 0, len(c.fleet.Rentals))
+	for id := range c.fleet.Rentals {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		r := c.fleet.Rentals[id]
+		if _, listed := c.roster[id]; listed || r.Deleted || r.Up || r.Listed != "" {
+			continue
+		}
+		if _, ok := c.active[r.Kind.Class]; ok {
+			// Booting: a successor then knows what is on its way before the
+			// lists do, and rents nothing twice.
+			key := keyRoster + id
+			add(r.Kind.Class, key, wire.Op{Key: key, Value: rosterEntry{r.Kind.Class, r.Kind.Zone, r.Kind.Spot, c.now.Unix - (c.now.Steady - r.Since).Seconds()}})
+		}
+	}
+	for id, e := range c.roster {
+		if _, ok := c.active[e.Class]; ok && c.fleet.IsGone(id) {
+			key := keyRoster + id
+			add(e.Class, key, wire.Op{Remove: key})
+		}
+	}
+	for name, mt := range c.fleet.Types {
+		if _, ok := c.active[name]; ok && !c.typesSaved[name] {
+			key := keyType + name
+			if !add(name, key, wire.Op{Key: key, Value: mt}) {
+				break
+			}
+		}
+	}
+	if len(t.Then) == 0 {
+		return
+	}
+	c.store.Txn(statestore.Roster, limits.StoreTimeout, t, func(r statestore.Reply) {
+		var tr wire.TxnReply
+		if r.Status == statestore.OK && wire.Decode(r.Body, &tr) == nil {
+			for _, op := range t.Then {
+				if e, ok := op.Value.(rosterEntry); ok {
+					c.roster[op.Key[len(keyRoster):]] = e
+				}
+				if mt, ok := op.Value.(*wire.MachineType); ok {
+					c.typesSaved[mt.Name] = true
+				}
+			}
+		}
+		clear(c.writing)
+		c.dirty = true
+	})
+}
+
+// machineGone is told when a deletion was answered with 200.
+func (c *Core) machineGone(id string) {
+	c.clearMachine(id)
+	c.pool.Drop(id)
+	c.dirty = true
+}
+
+func (c *Core) tellPeers() {
+	t := c.now.Steady
+	if c.own.WantPromises() {
+		for _, p := range c.set.Others {
+			c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.set.Label, Promise: true, Terms: c.own.Terms()}})
+		}
+	}
+	if t < c.nextTell || len(c.active) == 0 {
+		return
+	}
+	c.nextTell = t + limits.ProgressEvery
+	counts := map[string][2]int{}
+	seen := map[string][2]int{}
+	for id, j := range c.book.Open {
+		if !j.Active {
+			continue
+		}
+		v := [2]int{j.DoneCount, j.Running()}
+		seen[id] = v
+		if c.told[id] != v {
+			counts[id] = v
+		}
+	}
+	c.told = seen
+	if len(counts) == 0 {
+		return
+	}
+	for _, p := range c.set.Others {
+		c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.set.Label, Counts: counts}})
+	}
+}
+
+func (c *Core) peer(x PeerRequest) {
+	if x.Msg.Promise {
+		yes := c.own.AskPromise(c.now.Steady, x.Msg.Terms)
+		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: yes})
+		return
+	}
+	for id, v := range x.Msg.Counts {
+		c.book.Shown(id, v[0], v[1])
+	}
+	c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: true})
+}
--- /dev/null
+++ b/internal/controller/machines.go
@@ -0,0 +1,290 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"umberpaddle/internal/fleet"
+	"umberpaddle/internal/jobs"
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/wire"
+	"umberpaddle/internal/workers"
+)
+
+// checkin answers a worker's report.
+func (c *Core) checkin(x Checkin) {
+	r := x.Report
+	reply := func(status int, body any) { c.out = append(c.out, Answer{Ref: x.Ref, Status: status, Body: body}) }
+	term, ours := c.active[r.Type]
+	if !ours {
+		if o := c.own.Owner(r.Type); o != "" && o != c.set.Label {
+			reply(421, wire.Redirect{Owner: o})
+		} else {
+			reply(503, nil)
+		}
+		return
+	}
+	// A deleted machine's late report must not bring it back.
+	if !c.own.MayAnswer() || c.fleet.IsGone(r.Machine) || r.Machine == "" {
+		reply(503, nil)
+		return
+	}
+	m, v := c.pool.Hear(c.now.Steady, r, term, c.own.Claims()[r.Type].Since)
+	switch v {
+	case workers.Stale, workers.Deposed:
+		c.log("debug", "report not taken", "machine", r.Machine, "session", r.Session, "seq", r.Seq, "token", r.Token, "term", term)
+		reply(503, nil)
+		return
+	}
+	if rent := c.fleet.Know(r.Machine, fleet.Kind{Class: r.Type, Zone: r.Zone, Spot: r.Spot}, c.now.Steady); rent != nil {
+		rent.Up = true
+	}
+	out := wire.ReportReply{Token: term, Commands: []wire.Command{}}
+	if v == workers.Current {
+		c.dirty = true
+		out.Commands = c.sync(m, out.Commands)
+		if c.own.MayLaunch() {
+			c.activateJobs()
+			c.allocate()
+			out.Commands = c.launches(m, out.Commands)
+		}
+	}
+	reply(200, out)
+}
+
+// sync makes the places match a current report and returns the commands that
+// follow from it.
+func (c *Core) sync(m *workers.Machine, cmds []wire.Command) []wire.Command {
+	may := c.own.MayLaunch()
+	on := c.on[m.ID]
+	if on == nil {
+		on = map[string]placed{}
+		c.on[m.ID] = on
+	}
+	reported := make(map[string]bool, len(m.Tasks))
+	for _, t := range m.Tasks {
+		id := t.Task
+		reported[id] = true
+		jobID, task := jobs.SplitTask(id)
+		j := c.book.Open[jobID]
+		if j != nil && (task < 0 || task >= j.Tasks) {
+			j = nil
+		}
+		if t.State == wire.TaskEnded {
+			cmds = c.ended(m, j, id, task, t, cmds, may)
+			continue
+		}
+		if j == nil || j.Done.Has(task) {
+			// Over, or not ours to run: it must go.
+			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt})
+			continue
+		}
+		p, ok := j.Placed[task]
+		if ok && p.Machine != m.ID && p.State != jobs.Planned {
+			c.log("error", "task in two places", "task", id, "machine", m.ID, "other", p.Machine)
+			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt})
+			continue
+		}
+		if ok && p.Machine != m.ID {
+			delete(c.on[p.Machine], id)
+		}
+		at := p.At
+		if !ok {
+			at = c.now.Steady
+		}
+		j.Place(task, jobs.Place{Machine: m.ID, Attempt: t.Attempt, State: taskState(t.State), At: at})
+		on[id] = placed{j, task}
+		if j.Image != "" && t.State == wire.TaskRunning {
+			m.Images[j.Image] = true
+		}
+		switch {
+		case j.Cancelled:
+			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt})
+		case t.State == wire.TaskRunning && c.mustSave(m, j):
+			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt, GraceS: j.SaveS + 1})
+		}
+	}
+	for id, p := range on {
+		if !reported[id] && p.job.Placed[p.task].State != jobs.Planned {
+			// Sent, but the answer never arrived; or gone with a session.
+			p.job.Unplace(p.task)
+			delete(on, id)
+		}
+	}
+	return cmds
+}
+
+func taskState(s string) jobs.TaskState {
+	switch s {
+	case wire.TaskRunning:
+		return jobs.Running
+	case wire.TaskSaving:
+		return jobs.Saving
+	}
+	return jobs.Fetching
+}
+
+// mustSave tells whether a task that can save has to do so now, before the
+// cloud takes its machine.
+func (c *Core) mustSave(m *workers.Machine, j *jobs.Job) bool {
+	if m.Recall == 0 || j.CheckS <= 0 {
+		return false
+	}
+	left := m.Recall - c.now.Steady
+	need := time.Duration(j.SaveS*float64(time.Second)) + limits.DrainSpare + c.pool.Report*5/4
+	return left <= need
+}
+
+// ended takes in the end of an attempt. The outcome must be durable before the
+// worker may forget it; only a completion has an outcome that matters.
+func (c *Core) ended(m *workers.Machine, j *jobs.Job, id string, task int, t wire.TaskReport, cmds []wire.Command, may bool) []wire.Command {
+	clear := wire.Command{Verb: wire.VerbClear, Task: id, Attempt: t.Attempt}
+	if j == nil {
+		if c.store.Mirror.Loaded && may {
+			return append(cmds, clear)
+		}
+		return cmds
+	}
+	p, ok := j.Placed[task]
+	here := ok && p.Machine == m.ID && p.Attempt == t.Attempt
+	if here {
+		j.Unplace(task)
+		delete(c.on[m.ID], id)
+	}
+	if t.Cause == wire.CauseDone {
+		if ok && !here && p.State == jobs.Planned {
+			j.Unplace(task)
+			delete(c.on[p.Machine], id)
+		}
+		if !j.Done.Has(task) {
+			m.Strikes = 0
+			j.Succeeded = true
+			j.Backoff = 0
+			j.MarkDone(task)
+		}
+		if j.Durable(task) || j.Cancelled {
+			return append(cmds, clear)
+		}
+		return cmds
+	}
+	if here {
+		c.log("debug", "attempt ended", "task", id, "machine", m.ID, "cause", t.Cause, "attempt", t.Attempt)
+		if t.Cause == wire.CauseError {
+			c.failed(m, j)
+		}
+	}
+	if may {
+		cmds = append(cmds, clear)
+	}
+	return cmds
+}
+
+// failed judges who is to blame for a failed task: the machine, if tasks of
+// jobs that run elsewhere fail on it; the job, if it fails on several machines.
+func (c *Core) failed(m *workers.Machine, j *jobs.Job) {
+	j.FailedOn[m.ID] = true
+	if j.Faulty() {
+		j.Backoff = min(max(2*j.Backoff, limits.RetryBase), limits.RetryMost)
+		j.NotBefore = c.now.Steady + j.Backoff
+		c.log("info", "job fails everywhere", "job", j.ID, "machines", len(j.FailedOn), "retryIn", j.Backoff)
+		return
+	}
+	m.Strikes++
+	m.StruckBy[j.ID] = true
+	if !m.Draining && (m.Strikes >= limits.StrikesOut && (len(m.StruckBy) > 1 || j.Succeeded)) {
+		m.Draining = true
+		c.log("info", "machine fails its tasks", "machine", m.ID, "strikes", m.Strikes)
+	}
+}
+
+// launches turns the plans for a machine into commands.
+func (c *Core) launches(m *workers.Machine, cmds []wire.Command) []wire.Command {
+	for _, id := range slices.Sorted(maps.Keys(c.on[m.ID])) {
+		p := c.on[m.ID][id]
+		pl := p.job.Placed[p.task]
+		if pl.State != jobs.Planned || len(cmds) >= limits.MaxCommands {
+			continue
+		}
+		if p.job.Cancelled || !m.Usable(c.now.Steady, c.pool.Report) {
+			p.job.Unplace(p.task)
+			delete(c.on[m.ID], id)
+			continue
+		}
+		pl.State = jobs.Sent
+		p.job.Place(p.task, pl)
+		cmds = append(cmds, wire.Command{Verb: wire.VerbLaunch, Task: id, Attempt: pl.Attempt})
+	}
+	return cmds
+}
+
+// manageMachines gives up what is silent, expired, broken or recalled.
+func (c *Core) manageMachines() {
+	t := c.now.Steady
+	if len(c.active) == 0 || t < c.nextRun {
+		return
+	}
+	c.nextRun = t + limits.TickEvery
+	heard := time.Duration(0)
+	for _, m := range c.pool.Machines {
+		heard = max(heard, m.Heard)
+	}
+	for _, m := range c.pool.Sorted() {
+		if !m.Lost && c.pool.Expired(m, t) {
+			m.Lost = true
+			m.Adopted = false
+			c.log("info", "machine's lease is over", "machine", m.ID, "tasks", len(c.on[m.ID]))
+			c.clearMachine(m.ID)
+		}
+		// Silent while others report: a deletion proves it empty sooner than
+		// its lease would. Not when all are silent: then the fault is ours.
+		if t-m.Heard > c.pool.SilentFor() && t-heard < 2*c.pool.Report && c.own.MayLaunch() {
+			if r := c.fleet.Know(m.ID, fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, m.Heard); r != nil && (r.Up || m.Lost || r.Listed == wire.MachineRunning || r.Listed == "" && t-r.Since > c.bootTime(m.Class)) {
+				c.remove(m, "silent")
+			}
+		}
+		if m.Draining && !m.Deleting && m.Adopted && len(c.on[m.ID]) == 0 && c.own.MayLaunch() && !c.holdsResults(m) {
+			c.remove(m, "drained")
+		}
+		// Plans for a machine that went quiet are taken back: nothing was sent.
+		if len(c.on[m.ID]) > 0 && !m.Usable(t, c.pool.Report) {
+			for id, p := range c.on[m.ID] {
+				if p.job.Placed[p.task].State == jobs.Planned {
+					p.job.Unplace(p.task)
+					delete(c.on[m.ID], id)
+					c.dirty = true
+				}
+			}
+		}
+	}
+}
+
+// holdsResults tells whether the machine reports completions that are not
+// durable yet: they would have to be run again.
+func (c *Core) holdsResults(m *workers.Machine) bool {
+	for _, t := range m.Tasks {
+		if t.State == wire.TaskEnded && t.Cause == wire.CauseDone {
+			job, task := jobs.SplitTask(t.Task)
+			if j := c.book.Open[job]; j != nil && task >= 0 && task < j.Tasks && !j.Durable(task) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *Core) bootTime(class string) time.Duration {
+	if t := c.fleet.Types[class]; t != nil {
+		return time.Duration(t.BootS*limits.BootFactor*float64(time.Second)) + limits.BootSlack
+	}
+	return limits.BootSlack
+}
+
+func (c *Core) remove(m *workers.Machine, why string) {
+	if m.Deleting {
+		return
+	}
+	m.Deleting = true
+	c.fleet.Know(m.ID, fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, m.Heard)
+	c.fleet.Delete(m.ID, why)
+}
--- /dev/null
+++ b/internal/controller/plan.go
@@ -0,0 +1,320 @@
+package controller
+
+import (
+	"sort"
+
+	"umberpaddle/internal/allocation"
+	"umberpaddle/internal/fleet"
+	"umberpaddle/internal/jobs"
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/wire"
+)
+
+func need(j *jobs.Job) allocation.Res {
+	return allocation.Res{CPUs: j.CPUs, GPUs: j.GPUs, Memory: j.MemoryGB}
+}
+
+func size(t *wire.MachineType) allocation.Res {
+	return allocation.Res{CPUs: t.CPUs, GPUs: t.GPUs, Memory: t.MemoryGB}
+}
+
+// attempt gives out attempt numbers that no other owner and no other life of
+// this process gives out: the term in the upper bits, a counter below.
+func (c *Core) attempt(class string) uint64 {
+	c.counter++
+	return c.active[class]<<limits.AttemptBits | c.counter&(1<<limits.AttemptBits-1)
+}
+
+// due is when a job should be complete; without a deadline its age counts.
+func due(j *jobs.Job) float64 {
+	if j.DeadlineS > 0 {
+		return j.SubmitUnix + j.DeadlineS
+	}
+	return j.SubmitUnix
+}
+
+// sortedJobs lists the active jobs: by urgency, then deadline or age.
+func (c *Core) sortedJobs() []*jobs.Job {
+	var list []*jobs.Job
+	for _, j := range c.book.Open {
+		if j.Active {
+			list = append(list, j)
+		}
+	}
+	sort.Slice(list, func(a, b int) bool {
+		x, y := list[a], list[b]
+		if x.Urgency != y.Urgency {
+			return x.Urgency > y.Urgency
+		}
+		if dx, dy := due(x), due(y); dx != dy {
+			return dx < dy
+		}
+		return x.ID < y.ID
+	})
+	return list
+}
+
+// view builds the allocation's input: room from reports, amounts booked, and
+// the units that may start now. all also takes units that are held back for a
+// moment, for planning the fleet.
+func (c *Core) view(all bool) ([]*allocation.Team, []*allocation.Machine, map[string]allocation.Res) {
+	t := c.now.Steady
+	var machines []*allocation.Machine
+	capacity := map[string]allocation.Res{}
+	var unseen allocation.Res // room of machines whose tasks are unknown
+	for _, m := range c.pool.Sorted() {
+		mt := c.fleet.Types[m.Class]
+		if mt == nil {
+			continue
+		}
+		_, listed := c.roster[m.ID]
+		if listed && !m.Resolved() {
+			unseen = unseen.Add(size(mt), 1)
+		}
+		if m.Adopted && !m.Lost {
+			capacity[m.Class] = capacity[m.Class].Add(size(mt), 1)
+		}
+		if !m.Usable(t, c.pool.Report) || (!listed && !all) {
+			continue
+		}
+		free := size(mt)
+		for _, p := range c.on[m.ID] {
+			free = free.Add(need(p.job), -1)
+		}
+		machines = append(machines, &allocation.Machine{ID: m.ID, Class: m.Class, Zone: m.Zone, Spot: m.Spot, Free: free, Images: m.Images})
+	}
+	byTeam := map[string]*allocation.Team{}
+	var teams []*allocation.Team
+	for i := range c.set.Cluster.Teams {
+		ct := &c.set.Cluster.Teams[i]
+		at := &allocation.Team{Name: ct.Name, Booked: map[string]allocation.Res{}, MaxCPUs: ct.CPUsMax, MaxGPUs: ct.GPUsMax,
+			Guarantee: allocation.Res{CPUs: ct.CPUs, GPUs: ct.GPUs}}
+		byTeam[ct.Name] = at
+		teams = append(teams, at)
+	}
+	for _, j := range c.book.Open {
+		at := byTeam[j.Team]
+		if at == nil {
+			continue
+		}
+		for _, p := range j.Placed {
+			if m := c.pool.Machines[p.Machine]; m != nil {
+				at.Booked[m.Class] = at.Booked[m.Class].Add(need(j), 1)
+			}
+		}
+		if j.Launched() && (j.Frozen || !j.Active) {
+			at.Unknown = at.Unknown.Add(need(j), float64(j.Waiting()))
+		}
+	}
+	for _, at := range teams {
+		// What can't be seen fits on the machines that can't be seen, as long
+		// as all of the team's jobs are ours.
+		if c.allOurs(at.Name) {
+			at.Unknown.CPUs = min(at.Unknown.CPUs, unseen.CPUs)
+			at.Unknown.GPUs = min(at.Unknown.GPUs, unseen.GPUs)
+		}
+	}
+	for _, j := range c.sortedJobs() {
+		at := byTeam[j.Team]
+		n := j.Waiting()
+		if at == nil || n <= 0 || j.Cancelled || j.Frozen {
+			continue
+		}
+		if !all && (!j.Prepared || t < j.NotBefore) {
+			continue
+		}
+		u := &allocation.Unit{Job: j.ID, Need: need(j), Count: n, Image: j.Image, Classes: map[string]bool{}, Zone: j.Zone, Spot: j.Spot,
+			OneZone: j.OneZone, Spread: j.Spread, Tasks: j.Tasks, ByZone: map[string]int{}}
+		for _, class := range j.Types {
+			u.Classes[class] = true
+		}
+		for _, p := range j.Placed {
+			if m := c.pool.Machines[p.Machine]; m != nil {
+				u.ByZone[m.Zone]++
+			}
+		}
+		if j.Faulty() {
+			u.Count = min(n, limits.BadJobSlots-len(j.Placed))
+		} else {
+			u.Avoid = j.FailedOn
+		}
+		if u.Count > 0 {
+			at.Units = append(at.Units, u)
+		}
+	}
+	return teams, machines, capacity
+}
+
+func (c *Core) allOurs(team string) bool {
+	for _, j := range c.book.Open {
+		if j.Team == team && !j.Active {
+			return false
+		}
+	}
+	return true
+}
+
+// allocate plans tasks onto machines. The plans go out with the next answer to
+// each machine's report.
+func (c *Core) allocate() {
+	if !c.dirty || !c.own.MayLaunch() {
+		return
+	}
+	c.dirty = false
+	for _, j := range c.book.Open {
+		if j.Active && !j.Prepared && !j.Frozen && !j.Cancelled {
+			c.book.Prepare(j)
+		}
+	}
+	teams, machines, capacity := c.view(false)
+	for _, p := range allocation.Run(teams, machines, capacity) {
+		j := c.book.Open[p.Unit.Job]
+		task := j.NextTask()
+		if task < 0 {
+			continue
+		}
+		a := c.attempt(p.Machine.Class)
+		j.Place(task, jobs.Place{Machine: p.Machine.ID, Attempt: a, State: jobs.Planned, At: c.now.Steady})
+		if c.on[p.Machine.ID] == nil {
+			c.on[p.Machine.ID] = map[string]placed{}
+		}
+		id := jobs.TaskID(j.ID, task)
+		c.on[p.Machine.ID][id] = placed{j, task}
+		c.log("debug", "task placed", "task", id, "machine", p.Machine.ID, "attempt", a, "team", p.Team)
+	}
+}
+
+// planFleet rents for the work that fits nowhere and returns what is idle.
+func (c *Core) planFleet() {
+	if len(c.fleet.Types) == 0 || !c.fleet.Listed {
+		return
+	}
+	c.fleet.Sweep()
+	teams, machines, capacity := c.view(true)
+	// Machines on their way take their part first.
+	booting := c.fleet.Booting()
+	var kinds []fleet.Kind
+	for k := range booting {
+		if _, ok := c.active[k.Class]; ok && c.fleet.Types[k.Class] != nil {
+			kinds = append(kinds, k)
+		}
+	}
+	sort.Slice(kinds, func(a, b int) bool { return kinds[a].Less(kinds[b]) })
+	for _, k := range kinds {
+		for i := 0; i < booting[k]; i++ {
+			machines = append(machines, &allocation.Machine{Class: k.Class, Zone: k.Zone, Spot: k.Spot, Free: size(c.fleet.Types[k.Class])})
+		}
+	}
+	used := map[string]bool{}
+	for _, p := range allocation.Run(teams, machines, capacity) {
+		used[p.Machine.ID] = true
+	}
+	c.returnIdle(used)
+	want := map[fleet.Kind]int{}
+	var fresh []*allocation.Machine
+	for _, at := range teams {
+		total := at.Unknown
+		for _, b := range at.Booked {
+			total = total.Add(b, 1)
+		}
+		for _, u := range at.Units {
+			if j := c.book.Open[u.Job]; j == nil || j.Faulty() {
+				continue
+			}
+			for ; u.Count > 0; u.Count-- {
+				if (at.MaxCPUs > 0 && total.CPUs+u.Need.CPUs > at.MaxCPUs) || (at.MaxGPUs > 0 && total.GPUs+u.Need.GPUs > at.MaxGPUs) {
+					break
+				}
+				if !c.fitFresh(u, &fresh, want) {
+					break
+				}
+				total = total.Add(u.Need, 1)
+			}
+		}
+	}
+	kinds = kinds[:0]
+	for k := range want {
+		kinds = append(kinds, k)
+	}
+	sort.Slice(kinds, func(a, b int) bool { return kinds[a].Less(kinds[b]) })
+	for _, k := range kinds {
+		if c.fleet.MayHire(k) {
+			c.fleet.Hire(k, want[k])
+		}
+	}
+}
+
+// fitFresh puts a unit on a machine still to be rented, adding the cheapest
+// suitable one if need be.
+func (c *Core) fitFresh(u *allocation.Unit, fresh *[]*allocation.Machine, want map[fleet.Kind]int) bool {
+	for _, m := range *fresh {
+		if u.Need.Fits(m.Free) && u.Classes[m.Class] && (!m.Spot || u.Spot) && (u.Zone == "" || u.Zone == m.Zone) {
+			m.Free = m.Free.Add(u.Need, -1)
+			return true
+		}
+	}
+	var best fleet.Kind
+	cost := 0.0
+	for _, class := range c.fleet.Classes() {
+		if !u.Classes[class] {
+			continue
+		}
+		mt := c.fleet.Types[class]
+		per := fitCount(u.Need, size(mt))
+		for _, z := range mt.Zones {
+			if u.Zone != "" && u.Zone != z {
+				continue
+			}
+			for _, spot := range []bool{true, false} {
+				k := fleet.Kind{Class: class, Zone: z, Spot: spot}
+				if spot && !u.Spot || !c.fleet.Hirable(k) {
+					continue
+				}
+				if p := c.fleet.Price(k) / float64(per); best.Class == "" || p < cost {
+					best, cost = k, p
+				}
+			}
+		}
+	}
+	if best.Class == "" {
+		return false
+	}
+	m := &allocation.Machine{Class: best.Class, Zone: best.Zone, Spot: best.Spot, Free: size(c.fleet.Types[best.Class]).Add(u.Need, -1)}
+	*fresh = append(*fresh, m)
+	want[best]++
+	return true
+}
+
+func fitCount(need, room allocation.Res) int {
+	n := 1 << 20
+	part := func(a, b float64) {
+		if a > 0 {
+			n = min(n, int(b/a+1e-9))
+		}
+	}
+	part(need.CPUs, room.CPUs)
+	part(need.GPUs, room.GPUs)
+	part(need.Memory, room.Memory)
+	return max(1, n)
+}
+
+// returnIdle gives back machines that had nothing to do for a while.
+func (c *Core) returnIdle(used map[string]bool) {
+	t := c.now.Steady
+	for _, m := range c.pool.Sorted() {
+		r := c.fleet.Rentals[m.ID]
+		if r == nil || m.Deleting || !m.Adopted {
+			continue
+		}
+		if len(c.on[m.ID]) > 0 || used[m.ID] || c.holdsResults(m) {
+			r.Idle = 0
+			continue
+		}
+		if r.Idle == 0 {
+			r.Idle = t
+		}
+		if t-r.Idle > limits.IdleReturn && t-r.Since > limits.MinCharge {
+			c.remove(m, "idle")
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/server.go
@@ -0,0 +1,376 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"umberpaddle/internal/config"
+	"umberpaddle/internal/fleet"
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/statestore"
+	"umberpaddle/internal/wire"
+)
+
+// event is an input on its way to the loop; the answer, if one is expected,
+// comes back on the channel.
+type event struct {
+	in     any
+	answer chan Answer
+	make   func(ref uint64) any
+}
+
+// Server is the loop that owns the core, and the sockets around it.
+type Server struct {
+	set   *config.Settings
+	core  *Core
+	inbox chan event
+	start time.Time
+	log   *slog.Logger
+	refs  map[uint64]chan Answer
+	ref   uint64
+	state *http.Client
+	cloud *http.Client
+	peers map[string]*peer
+	conns atomic.Int64
+	crowd int64 // above this many connections users' are not kept open
+	full  int64 // above this many connections new ones are closed
+	ctx   context.Context
+}
+
+// NewServer prepares a controller process.
+func NewServer(set *config.Settings, ops *config.Operator, log *slog.Logger) *Server {
+	s := &Server{set: set, inbox: make(chan event, limits.Inbox), start: time.Now(), log: log,
+		refs: map[uint64]chan Answer{}, peers: map[string]*peer{}}
+	sockets := float64(set.Cluster.Resources.MaxSockets)
+	s.crowd = int64(sockets * (1 - limits.SocketReserve))
+	s.full = int64(sockets * (1 - limits.SocketReserve/4))
+	s.state = &http.Client{Transport: transport(limits.StoreInFlight + 4)}
+	s.cloud = &http.Client{Transport: transport(4)}
+	for _, p := range set.Others {
+		s.peers[p.Label] = &peer{addr: p.Addr}
+	}
+	s.core = NewCore(set, ops, s.now(), rand.Uint64()>>1|1)
+	return s
+}
+
+func transport(conns int) *http.Transport {
+	d := &net.Dialer{Timeout: limits.PeerTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp4", addr)
+		},
+		MaxIdleConnsPerHost: conns, MaxConnsPerHost: conns, IdleConnTimeout: limits.UserIdle, DisableCompression: true}
+}
+
+func (s *Server) now() Now {
+	t := time.Now()
+	return Now{Steady: t.Sub(s.start), Unix: float64(t.UnixNano()) / 1e9}
+}
+
+// Run serves until the context ends or a socket fails.
+func (s *Server) Run(ctx context.Context) error {
+	// One thread runs at a time on these machines, and memory is scarce.
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(s.set.Cluster.Resources.RAMMB * (1 << 20) * limits.MemoryUse))
+	var cancel context.CancelFunc
+	s.ctx, cancel = context.WithCancel(ctx)
+	defer cancel()
+	api, err := net.Listen("tcp4", s.set.APIAddr)
+	if err != nil {
+		return fmt.Errorf("listen on api_addr: %w", err)
+	}
+	defer api.Close()
+	bind, err := net.Listen("tcp4", s.set.PeerBind)
+	if err != nil {
+		return fmt.Errorf("listen on peer_bind: %w", err)
+	}
+	defer bind.Close()
+	errs := make(chan error, 2)
+	server := &http.Server{Handler: s.handler(), ReadHeaderTimeout: limits.EdgeTimeout, ReadTimeout: 2 * limits.EdgeTimeout,
+		WriteTimeout: 3 * limits.EdgeTimeout, IdleTimeout: limits.UserIdle, MaxHeaderBytes: 16 << 10,
+		ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
+	go func() { errs <- server.Serve(&countedListener{Listener: api, s: s}) }()
+	go s.servePeers(bind)
+	s.log.Info("serving", "node", s.set.Label, "api", s.set.APIAddr)
+	tick := time.NewTicker(limits.TickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			server.Close()
+			return nil
+		case err := <-errs:
+			return fmt.Errorf("serve: %w", err)
+		case e := <-s.inbox:
+			s.handle(e)
+		case <-tick.C:
+			s.handle(event{in: Tick{}})
+		}
+	}
+}
+
+// handle feeds one event to the core and does what it returns.
+func (s *Server) handle(e event) {
+	if e.make != nil {
+		s.ref++
+		s.refs[s.ref] = e.answer
+		e.in = e.make(s.ref)
+	}
+	for _, o := range s.step(e.in) {
+		switch x := o.(type) {
+		case Answer:
+			if ch := s.refs[x.Ref]; ch != nil {
+				delete(s.refs, x.Ref)
+				ch <- x
+			}
+		case Log:
+			s.writeLog(x)
+		case statestore.Call:
+			go func() {
+				status, body := s.do(s.state, s.set.External.State, x.Method, x.Path, x.Body, x.Timeout)
+				s.send(event{in: StoreReply{x.ID, status, body}})
+			}()
+		case fleet.Call:
+			go func() {
+				status, body := s.do(s.cloud, s.set.External.Cloud, x.Method, x.Path, x.Body, x.Timeout)
+				s.send(event{in: CloudReply{x.ID, status, body}})
+			}()
+		case PeerCall:
+			go s.callPeer(x)
+		}
+	}
+}
+
+// step guards the loop: a fault in the core must not end the process. What the
+// core knew may be wrong then, so it starts afresh as after a restart, with a
+// name of its own; its claims end with its lease.
+func (s *Server) step(in any) (out []any) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.log.Error("fault in the core, starting it afresh", "fault", fmt.Sprint(p), "stack", string(debug.Stack()))
+			s.core = NewCore(s.set, s.core.ops, s.now(), rand.Uint64()>>1|1)
+			for ref, ch := range s.refs {
+				delete(s.refs, ref)
+				ch <- Answer{Ref: ref, Status: 503, RetryAfter: limits.RetryAfterS}
+			}
+			out = nil
+		}
+	}()
+	return s.core.Step(s.now(), in)
+}
+
+func (s *Server) writeLog(x Log) {
+	level := slog.LevelInfo
+	switch x.Level {
+	case "debug":
+		level = slog.LevelDebug
+	case "error":
+		level = slog.LevelError
+	}
+	s.log.Log(s.ctx, level, x.Msg, x.Args...)
+}
+
+func (s *Server) send(e event) bool {
+	select {
+	case s.inbox <- e:
+		return true
+	case <-s.ctx.Done():
+		return false
+	}
+}
+
+// ask sends an input and waits for its answer.
+func (s *Server) ask(make_ func(ref uint64) any, wait time.Duration) (Answer, bool) {
+	ch := make(chan Answer, 1)
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case s.inbox <- event{make: make_, answer: ch}:
+	case <-t.C:
+		return Answer{}, false
+	case <-s.ctx.Done():
+		return Answer{}, false
+	}
+	select {
+	case a := <-ch:
+		return a, true
+	case <-t.C:
+		return Answer{}, false
+	case <-s.ctx.Done():
+		return Answer{}, false
+	}
+}
+
+// do makes one HTTP request; status 0 is no answer.
+func (s *Server) do(client *http.Client, host, method, path string, body any, timeout time.Duration) (int, []byte) {
+	ctx, cancel := context.WithTimeout(s.ctx, timeout)
+	defer cancel()
+	var rd io.Reader
+	if body != nil {
+		b, err := wire.Encode(body)
+		if err != nil {
+			s.log.Error("request not encoded", "path", path, "error", err)
+			return 400, nil
+		}
+		rd = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+host+path, rd)
+	if err != nil {
+		s.log.Error("request not made", "path", path, "error", err)
+		return 400, nil
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/msgpack")
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		s.log.Debug("no answer", "method", method, "path", path, "error", err)
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, limits.MaxStoreBodyBytes))
+	if err != nil {
+		return 0, nil
+	}
+	if resp.StatusCode >= 300 && resp.StatusCode != 404 && resp.StatusCode != 409 {
+		s.log.Debug("refused", "method", method, "path", path, "status", resp.StatusCode, "body", string(b[:min(len(b), 200)]))
+	}
+	return resp.StatusCode, b
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /checkin", s.checkin)
+	mux.HandleFunc("POST /work", func(w http.ResponseWriter, r *http.Request) {
+		body, ok := readBody(w, r)
+		if ok {
+			s.user(w, func(ref uint64) any { return Submit{ref, body} })
+		}
+	})
+	mux.HandleFunc("GET /work/{id}", func(w http.ResponseWriter, r *http.Request) {
+		id := r.PathValue("id")
+		s.user(w, func(ref uint64) any { return Query{ref, id} })
+	})
+	mux.HandleFunc("POST /work/{id}/cancel", func(w http.ResponseWriter, r *http.Request) {
+		id := r.PathValue("id")
+		s.user(w, func(ref uint64) any { return Cancel{ref, id} })
+	})
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
+		a, ok := s.ask(func(ref uint64) any { return Ready{ref} }, limits.EdgeTimeout)
+		if !ok {
+			a = Answer{Status: 503}
+		}
+		reply(w, a)
+	})
+	return mux
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes))
+	if err != nil {
+		status := 400
+		var tooLarge *http.MaxBytesError
+		if !errors.As(err, &tooLarge) {
+			status = 503
+		}
+		reply(w, Answer{Status: status, Body: wire.ErrorBody{Error: "body not read"}})
+		return nil, false
+	}
+	return b, true
+}
+
+func (s *Server) user(w http.ResponseWriter, make_ func(uint64) any) {
+	if s.conns.Load() > s.crowd {
+		w.Header().Set("Connection", "close")
+	}
+	a, ok := s.ask(make_, limits.EdgeTimeout)
+	if !ok {
+		a = Answer{Status: 503, Body: wire.ErrorBody{Error: "overloaded"}, RetryAfter: limits.RetryAfterS}
+	}
+	reply(w, a)
+}
+
+func (s *Server) checkin(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	rep := &wire.Report{}
+	if err := wire.Decode(body, rep); err != nil {
+		s.log.Error("report not understood", "error", err)
+		reply(w, Answer{Status: 400})
+		return
+	}
+	a, ok := s.ask(func(ref uint64) any { return Checkin{ref, rep} }, limits.EdgeTimeout)
+	if !ok {
+		a = Answer{Status: 503}
+	}
+	reply(w, a)
+}
+
+func reply(w http.ResponseWriter, a Answer) {
+	if a.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(a.RetryAfter))
+	}
+	var b []byte
+	if a.Body != nil {
+		var err error
+		if b, err = wire.Encode(a.Body); err != nil {
+			a.Status, b = 503, nil
+		}
+	}
+	w.Header().Set("Content-Type", "application/msgpack")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(a.Status)
+	w.Write(b) //nolint: the peer may be gone, and that is its own loss
+}
+
+// countedListener bounds the open connections.
+type countedListener struct {
+	net.Listener
+	s *Server
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			var ne net.Error
+			if errors.As(err, &ne) && ne.Temporary() { // no socket free: others will close
+				time.Sleep(limits.TickEvery)
+				continue
+			}
+			return nil, err
+		}
+		if l.s.conns.Load() >= l.s.full {
+			c.Close()
+			continue
+		}
+		l.s.conns.Add(1)
+		return &countedConn{Conn: c, s: l.s}, nil
+	}
+}
+
+type countedConn struct {
+	net.Conn
+	s    *Server
+	once sync.Once
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.s.conns.Add(-1) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/controller/users.go
@@ -0,0 +1,118 @@
+package controller
+
+import (
+	"strconv"
+
+	"umberpaddle/internal/jobs"
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/wire"
+)
+
+func hirePrefix(label string, random uint64) string {
+	return "up-" + label + "-" + strconv.FormatUint(random, 36)
+}
+
+func refuse(status int, why string) jobs.Answer {
+	return jobs.Answer{Status: status, Body: wire.ErrorBody{Error: why}}
+}
+
+func (c *Core) ready(x Ready) {
+	if c.store.Mirror.Loaded && len(c.fleet.Types) > 0 {
+		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200})
+		return
+	}
+	c.out = append(c.out, Answer{Ref: x.Ref, Status: 503})
+}
+
+// submit judges a submission and hands it to the book. A known job is never
+// judged again: settings and machine types may have changed since.
+func (c *Core) submit(x Submit) {
+	s, err := wire.ParseSubmission(x.Body)
+	if err != nil {
+		c.answer(x.Ref, refuse(400, err.Error()))
+		return
+	}
+	if c.book.Known(s.ID) {
+		c.book.Query(c.now.Steady, s.ID, func(a jobs.Answer) { c.answer(x.Ref, a) })
+		return
+	}
+	if !c.store.Mirror.Loaded || len(c.fleet.Types) == 0 {
+		c.answer(x.Ref, jobs.Later())
+		return
+	}
+	if why := c.judge(s); why != "" {
+		// It may have been accepted under other settings; only the state
+		// service knows. Unknown there: refused for good.
+		c.book.Query(c.now.Steady, s.ID, func(a jobs.Answer) {
+			if a.Status == 404 {
+				a = refuse(422, why)
+			}
+			c.answer(x.Ref, a)
+		})
+		return
+	}
+	job := s.Job
+	job.SubmitUnix = c.now.Unix
+	c.book.Submit(c.now.Steady, &job, func(a jobs.Answer) { c.answer(x.Ref, a) })
+}
+
+// judge tells why a job can never run, or fills in the types on which it can.
+func (c *Core) judge(s *wire.Submission) string {
+	team := c.teams[s.Team]
+	if team == nil {
+		return "crew: unknown team"
+	}
+	listed := map[string]bool{}
+	for _, t := range s.Listed {
+		listed[t] = true
+	}
+	s.Types = nil
+	for _, name := range c.fleet.Classes() {
+		t := c.fleet.Types[name]
+		if !s.AnyType && !listed[name] {
+			continue
+		}
+		if s.Zone != "" && !contains(t.Zones, s.Zone) {
+			continue
+		}
+		if s.CPUs <= t.CPUs && s.GPUs <= t.GPUs && s.MemoryGB <= t.MemoryGB {
+			s.Types = append(s.Types, name)
+		}
+	}
+	if len(s.Types) == 0 {
+		return "a task fits no allowed machine type"
+	}
+	if (team.CPUsMax > 0 && s.CPUs > team.CPUsMax) || (team.GPUsMax > 0 && s.GPUs > team.GPUsMax) {
+		return "a task needs more than the team's limit"
+	}
+	return ""
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) query(x Query) {
+	if !wire.ValidJobID(x.ID) {
+		c.answer(x.Ref, refuse(404, "no such job"))
+		return
+	}
+	if c.store.Down() && c.store.Backlog() > limits.MaxWaiting {
+		c.answer(x.Ref, jobs.Later())
+		return
+	}
+	c.book.Query(c.now.Steady, x.ID, func(a jobs.Answer) { c.answer(x.Ref, a) })
+}
+
+func (c *Core) cancel(x Cancel) {
+	if !wire.ValidJobID(x.ID) {
+		c.answer(x.Ref, refuse(404, "no such job"))
+		return
+	}
+	c.book.Cancel(c.now.Steady, x.ID, func(a jobs.Answer) { c.answer(x.Ref, a) })
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,399 @@
+// Package fleet rents and returns machines: it follows the cloud's prices and
+// lists, asks for what the waiting work needs, and gives back what is idle,
+// broken or never came up. It is a pure state machine like the others.
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/wire"
+)
+
+// Call is an HTTP request for the edge to make to the cloud.
+type Call struct {
+	ID      uint64
+	Method  string
+	Path    string
+	Body    any
+	Timeout time.Duration
+}
+
+// Kind is what one rental request asks for.
+type Kind struct {
+	Class, Zone string
+	Spot        bool
+}
+
+// Rental is a machine that we know from renting or from lists.
+type Rental struct {
+	ID      string
+	Kind    Kind
+	Since   time.Duration // when it was rented, on our steady clock
+	Listed  string        // its status when last listed
+	SeenAt  time.Duration // when it was last listed
+	Up      bool          // its worker has reported
+	Deleted bool          // asked to delete; goes with the 200
+	asking  bool
+	Idle    time.Duration // since when it has nothing to do; 0: busy
+}
+
+// Manager is the slice's state.
+type Manager struct {
+	log     func(level, msg string, args ...any)
+	now     time.Duration
+	rate    float64
+	level   float64
+	last    time.Duration
+	prefix  string
+	count   uint64
+	calls   map[uint64]func(status int, body []byte)
+	nextID  uint64
+	out     []Call
+	pause   time.Duration
+	listLag time.Duration
+
+	Types    map[string]*wire.MachineType
+	Rentals  map[string]*Rental
+	backoff  map[Kind]time.Duration
+	hiring   map[Kind]int
+	unsure   map[Kind]*hire // requests without an answer are repeated by name
+	typesAt  time.Duration
+	typesGo  bool
+	listAt   time.Duration
+	listing  bool
+	Listed   bool // a whole list has been read since we began
+	pages    map[string]wire.ListedMachine
+	listFrom time.Duration
+	Gone     func(id string) // a machine is certainly gone
+	gone     map[string]time.Duration
+}
+
+type hire struct {
+	req wire.Hire
+}
+
+// New makes a manager. prefix starts the names of all its rental requests and
+// must never be used by any other life of any node.
+func New(rps, listLagS float64, prefix string, log func(string, string, ...any)) *Manager {
+	return &Manager{log: log, rate: rps * limits.CloudBudget, prefix: prefix, listLag: time.Duration(listLagS * float64(time.Second)),
+		calls: map[uint64]func(int, []byte){}, Types: map[string]*wire.MachineType{}, Rentals: map[string]*Rental{},
+		backoff: map[Kind]time.Duration{}, hiring: map[Kind]int{}, unsure: map[Kind]*hire{}, gone: map[string]time.Duration{}}
+}
+
+// Classes lists the machine types.
+func (f *Manager) Classes() []string {
+	c := make([]string, 0, len(f.Types))
+	for n := range f.Types {
+		c = append(c, n)
+	}
+	sort.Strings(c)
+	return c
+}
+
+// IsGone tells whether a machine was deleted for certain; late reports of it
+// must not bring it back.
+func (f *Manager) IsGone(id string) bool { _, ok := f.gone[id]; return ok }
+
+// Know enters a machine known by other means.
+func (f *Manager) Know(id string, k Kind, since time.Duration) *Rental {
+	r := f.Rentals[id]
+	if r == nil && !f.IsGone(id) {
+		r = &Rental{ID: id, Kind: k, Since: since}
+		f.Rentals[id] = r
+	}
+	return r
+}
+
+func (f *Manager) ask(method, path string, body any, done func(int, []byte)) {
+	f.level--
+	f.nextID++
+	f.calls[f.nextID] = done
+	f.out = append(f.out, Call{ID: f.nextID, Method: method, Path: path, Body: body, Timeout: limits.CloudTimeout})
+}
+
+// Reply hands over what came of a call; status 0 is no answer.
+func (f *Manager) Reply(now time.Duration, id uint64, status int, body []byte) {
+	f.now = max(f.now, now)
+	done, ok := f.calls[id]
+	if !ok {
+		return
+	}
+	delete(f.calls, id)
+	if status != 200 && status != 400 {
+		f.pause = f.now + limits.CloudBackoff
+	}
+	done(status, body)
+}
+
+func (f *Manager) free() bool { return f.level >= 1 && f.now >= f.pause && len(f.calls) < 4 }
+
+// Tick advances time. active tells whether this node owns classes; others only
+// read the price list. deletions come first, then rentals, then lists.
+func (f *Manager) Tick(now time.Duration, active bool, owners int) []Call {
+	f.now = max(f.now, now)
+	if f.now > f.last {
+		rate := f.rate / float64(max(1, owners))
+		if !active {
+			rate = min(rate, 0.2)
+		}
+		f.level = min(max(2*rate, 1), f.level+rate*(f.now-f.last).Seconds())
+		f.last = f.now
+	}
+	if !f.typesGo && f.now >= f.typesAt && f.free() {
+		f.readTypes()
+	}
+	if active {
+		f.deleteMarked()
+		f.repeatHires()
+		f.list()
+	}
+	out := f.out
+	f.out = nil
+	return out
+}
+
+func (f *Manager) readTypes() {
+	f.typesGo = true
+	f.ask("GET", "/machine_types", nil, func(status int, body []byte) {
+		f.typesGo = false
+		f.typesAt = f.now + limits.CloudBackoff
+		var t wire.MachineTypes
+		if status != 200 || wire.Decode(body, &t) != nil {
+			return
+		}
+		f.typesAt = f.now + limits.TypesEvery
+		for i := range t.Types {
+			if t.Types[i].Name != "" {
+				f.Types[t.Types[i].Name] = &t.Types[i]
+			}
+		}
+	})
+}
+
+// Delete marks a machine for deletion.
+func (f *Manager) Delete(id, why string) {
+	r := f.Rentals[id]
+	if r == nil || r.Deleted {
+		return
+	}
+	r.Deleted = true
+	f.log("info", "machine returned", "machine", id, "why", why)
+}
+
+func (f *Manager) deleteMarked() {
+	if !f.free() {
+		return
+	}
+	var names []string
+	for id, r := range f.Rentals {
+		if r.Deleted && !r.asking {
+			names = append(names, id)
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	sort.Strings(names)
+	names = names[:min(len(names), limits.DeleteMost)]
+	for _, id := range names {
+		f.Rentals[id].asking = true
+	}
+	f.ask("POST", "/hosts/delete", wire.Machines{Machines: names}, func(status int, body []byte) {
+		for _, id := range names {
+			r := f.Rentals[id]
+			if r == nil {
+				continue
+			}
+			r.asking = false
+			if status == 200 {
+				f.forget(id)
+			}
+		}
+	})
+}
+
+func (f *Manager) forget(id string) {
+	delete(f.Rentals, id)
+	f.gone[id] = f.now
+	for g, at := range f.gone {
+		// Longer than any list or report may lag.
+		if f.now-at > 20*time.Minute {
+			delete(f.gone, g)
+		}
+	}
+	f.Gone(id)
+}
+
+// MayHire tells whether a kind may be asked for now.
+func (f *Manager) MayHire(k Kind) bool {
+	return f.now >= f.backoff[k] && f.hiring[k] == 0 && f.unsure[k] == nil && f.free()
+}
+
+// Hirable tells whether a kind was not refused a moment ago.
+func (f *Manager) Hirable(k Kind) bool { return f.now >= f.backoff[k] }
+
+// Hire asks for machines.
+func (f *Manager) Hire(k Kind, n int) {
+	f.count++
+	h := &hire{req: wire.Hire{Request: fmt.Sprintf("%s-%d", f.prefix, f.count), Type: k.Class, Zone: k.Zone, Spot: k.Spot, Count: min(n, limits.HireMost)}}
+	f.sendHire(k, h)
+}
+
+func (f *Manager) sendHire(k Kind, h *hire) {
+	delete(f.unsure, k)
+	f.hiring[k] = h.req.Count
+	f.ask("POST", "/hosts", h.req, func(status int, body []byte) {
+		f.hiring[k] = 0
+		var m wire.Machines
+		switch {
+		case status == 200 && wire.Decode(body, &m) == nil:
+			for _, id := range m.Machines {
+				f.Know(id, k, f.now)
+			}
+			f.log("info", "machines rented", "class", k.Class, "zone", k.Zone, "spot", k.Spot, "asked", h.req.Count, "got", len(m.Machines))
+			if len(m.Machines) < h.req.Count {
+				f.backoff[k] = f.now + limits.HireBackoff
+			}
+		case status == 0:
+			// Perhaps rented: the same name tells, and rents nothing twice.
+			f.unsure[k] = h
+		default:
+			f.log("info", "no machines", "class", k.Class, "zone", k.Zone, "spot", k.Spot, "asked", h.req.Count, "status", status)
+			f.backoff[k] = f.now + limits.HireBackoff
+		}
+	})
+}
+
+func (f *Manager) repeatHires() {
+	kinds := make([]Kind, 0, len(f.unsure))
+	for k := range f.unsure {
+		kinds = append(kinds, k)
+	}
+	sort.Slice(kinds, func(i, j int) bool { return kinds[i].Less(kinds[j]) })
+	for _, k := range kinds {
+		if f.free() {
+			f.sendHire(k, f.unsure[k])
+		}
+	}
+}
+
+// Less orders kinds.
+func (k Kind) Less(o Kind) bool {
+	if k.Class != o.Class {
+		return k.Class < o.Class
+	}
+	if k.Zone != o.Zone {
+		return k.Zone < o.Zone
+	}
+	return k.Spot && !o.Spot
+}
+
+func (f *Manager) list() {
+	if f.listing || !f.free() || (f.pages == nil && f.now < f.listAt) {
+		return
+	}
+	if f.pages == nil {
+		f.pages = map[string]wire.ListedMachine{}
+		f.listFrom = f.now
+	}
+	since := ""
+	for id := range f.pages {
+		since = max(since, id)
+	}
+	path := "/hosts?page=500"
+	if since != "" {
+		path += "&since=" + since
+	}
+	f.listing = true
+	f.ask("GET", path, nil, func(status int, body []byte) {
+		f.listing = false
+		var l wire.MachineList
+		if status != 200 || wire.Decode(body, &l) != nil {
+			return
+		}
+		for _, m := range l.Machines {
+			f.pages[m.ID] = m
+		}
+		if !l.More || len(l.Machines) == 0 {
+			f.merge()
+		}
+	})
+}
+
+// merge takes a whole list in. Lists lag: a machine that is missing may be new,
+// and one that is listed may be gone.
+func (f *Manager) merge() {
+	f.listAt = f.now + limits.ListEvery
+	f.Listed = true
+	for id, m := range f.pages {
+		age := time.Duration(m.AgeS * float64(time.Second))
+		r := f.Know(id, Kind{m.Type, m.Zone, m.Spot}, f.now-age)
+		if r == nil {
+			continue
+		}
+		r.Listed, r.SeenAt = m.Status, f.now
+	}
+	for _, r := range f.Rentals {
+		if _, ok := f.pages[r.ID]; ok {
+			continue
+		}
+		// Listed once and not any more: gone, as the cloud promises. New ones
+		// may be missing for twice the lag.
+		if r.SeenAt != 0 && f.listFrom-r.SeenAt > 2*f.listLag+limits.ListEvery || r.SeenAt == 0 && f.listFrom-r.Since > 3*f.listLag+limits.ListEvery && !r.Up {
+			f.Delete(r.ID, "no longer listed")
+		}
+	}
+	f.pages = nil
+}
+
+// Sweep marks machines that failed or never came up.
+func (f *Manager) Sweep() {
+	for _, r := range f.Rentals {
+		if r.Deleted {
+			continue
+		}
+		if r.Listed == wire.MachineFailed {
+			f.Delete(r.ID, "failed")
+			continue
+		}
+		if t := f.Types[r.Kind.Class]; t != nil && !r.Up {
+			boot := time.Duration(t.BootS * limits.BootFactor * float64(time.Second))
+			if f.now-r.Since > boot+limits.BootSlack {
+				f.Delete(r.ID, "never came up")
+			}
+		}
+	}
+}
+
+// Booting counts the machines of a kind that are still to come up.
+func (f *Manager) Booting() map[Kind]int {
+	n := map[Kind]int{}
+	for _, r := range f.Rentals {
+		if !r.Up && !r.Deleted {
+			n[r.Kind]++
+		}
+	}
+	for k, c := range f.hiring {
+		n[k] += c
+	}
+	for k, h := range f.unsure {
+		n[k] += h.req.Count
+	}
+	return n
+}
+
+// Price is what a kind costs an hour now.
+func (f *Manager) Price(k Kind) float64 {
+	t := f.Types[k.Class]
+	if t == nil {
+		return math.Inf(1)
+	}
+	if k.Spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
--- /dev/null
+++ b/internal/jobs/book.go
@@ -0,0 +1,404 @@
+// Package jobs keeps the unfinished jobs, answers users, and writes what must
+// outlive a process: the job before its 201, a cancellation before its 200, a
+// completion before it is told.
+//
+// Keys: u/o/ID is the job, never rewritten; it goes when the job is final and
+// none of its tasks is left. u/c/ID marks a cancelled job for the owners. u/p/ID/K holds
+// part K of the done set; part 0 is written before the job's first launch, so
+// a job without it has never run. fin/ID is the final state, kept for ever.
+package jobs
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/statestore"
+	"umberpaddle/internal/wire"
+)
+
+const (
+	keyOpen     = statestore.Root + "o/"
+	keyCancel   = statestore.Root + "c/"
+	keyProgress = statestore.Root + "p/"
+	keyFinal    = "fin/"
+)
+
+// final is the value of fin/ID.
+type final struct {
+	Status string `msgpack:"s"`
+	Done   int    `msgpack:"d"`
+}
+
+type progress struct {
+	Done string `msgpack:"b"`
+}
+
+// TaskState is where a located task stands.
+type TaskState int
+
+// Task states, in the order in which an attempt goes through them.
+const (
+	Planned  TaskState = iota // chosen, not yet told to the worker
+	Sent                      // told in an answer that may be lost
+	Fetching                  // reported
+	Running
+	Saving
+)
+
+// Place is where a task is.
+type Place struct {
+	Machine string
+	Attempt uint64
+	State   TaskState
+	At      time.Duration // when the attempt was placed
+}
+
+// Job is an unfinished job, or a cancelled one with tasks that may be left.
+type Job struct {
+	*wire.Job
+	version   uint64
+	Cancelled bool
+	Done      Bits
+	DoneCount int
+	durable   Bits
+	parts     map[int]uint64 // versions of the written parts of the done set
+	dirty     map[int]bool
+	writing   bool
+	closing   bool
+	Placed    map[int]Place
+	scan      int
+	Class0    string // a class of the job, for the owner's guard
+
+	Active   bool // this node owns the job's classes
+	Prepared bool // part 0 is written: tasks may be launched
+	Frozen   bool // launched by an earlier owner, whereabouts not yet known
+
+	// Failures, for telling a faulty job from a faulty machine.
+	FailedOn  map[string]bool
+	Succeeded bool
+	Backoff   time.Duration
+	NotBefore time.Duration
+
+	shownDone, shownRunning int // counts told by the owner, for display
+}
+
+// Running counts the tasks that run.
+func (j *Job) Running() int {
+	n := 0
+	for _, p := range j.Placed {
+		if p.State >= Running {
+			n++
+		}
+	}
+	return n
+}
+
+// Faulty tells whether the job's own tasks seem to be at fault.
+func (j *Job) Faulty() bool { return len(j.FailedOn) >= limits.BadJobMachines && !j.Succeeded }
+
+// Waiting counts the tasks that neither are done nor have a place.
+func (j *Job) Waiting() int { return j.Tasks - j.DoneCount - len(j.Placed) }
+
+// NextTask returns the lowest waiting task, or -1.
+func (j *Job) NextTask() int {
+	for ; j.scan < j.Tasks; j.scan++ {
+		if j.Done.Has(j.scan) {
+			continue
+		}
+		if _, ok := j.Placed[j.scan]; !ok {
+			return j.scan
+		}
+	}
+	return -1
+}
+
+// Place puts a task on a machine.
+func (j *Job) Place(task int, p Place) { j.Placed[task] = p }
+
+// Unplace takes a task's place away: it waits again unless it is done.
+func (j *Job) Unplace(task int) {
+	delete(j.Placed, task)
+	if task < j.scan {
+		j.scan = task
+	}
+}
+
+// MarkDone records a completed task.
+func (j *Job) MarkDone(task int) {
+	if task < 0 || task >= j.Tasks || j.Done.Has(task) {
+		return
+	}
+	j.Done.Set(task)
+	j.DoneCount++
+	j.dirty[task/limits.ChunkTasks] = true
+}
+
+// Durable tells whether a task's completion is in the state service.
+func (j *Job) Durable(task int) bool { return j.durable.Has(task) }
+
+// TaskID joins a job's id and a task number; SplitTask takes them apart.
+func TaskID(job string, task int) string { return job + "/" + strconv.Itoa(task) }
+
+// SplitTask takes a task's id apart; task is -1 if it is malformed.
+func SplitTask(id string) (job string, task int) {
+	job, num, ok := strings.Cut(id, "/")
+	n, err := strconv.Atoi(num)
+	if !ok || err != nil || n < 0 || n >= limits.MaxTasks {
+		return id, -1
+	}
+	return job, n
+}
+
+// Book is the slice's state.
+type Book struct {
+	store *statestore.Store
+	log   func(level, msg string, args ...any)
+	now   time.Duration
+	Open  map[string]*Job
+
+	finals     map[string]final
+	finalOrder []string
+
+	asks      []*ask
+	asking    bool
+	nextAsk   time.Duration
+	submits   []*submit
+	waiting   int
+	byRef     map[string]*submit
+	flushAt   map[string]time.Duration
+	nextFlush time.Duration
+
+	// Guard gives the condition under which this node's writes as owner hold.
+	Guard func(class string) wire.Guard
+}
+
+// New makes an empty book.
+func New(store *statestore.Store, log func(string, string, ...any)) *Book {
+	return &Book{store: store, log: log, Open: map[string]*Job{}, finals: map[string]final{}, byRef: map[string]*submit{}, flushAt: map[string]time.Duration{}}
+}
+
+// Apply follows a change of the mirror.
+func (b *Book) Apply(c statestore.Change) {
+	switch {
+	case strings.HasPrefix(c.Key, keyOpen):
+		id := c.Key[len(keyOpen):]
+		if c.Removed {
+			delete(b.Open, id)
+			delete(b.flushAt, id)
+			return
+		}
+		spec := &wire.Job{}
+		if err := wire.Decode(c.Entry.Value, spec); err != nil || spec.Tasks < 1 || spec.Tasks > limits.MaxTasks {
+			b.log("error", "unreadable job record", "job", id)
+			return
+		}
+		if b.Open[id] != nil {
+			return
+		}
+		j := &Job{Job: spec, version: c.Entry.Version, Done: newBits(spec.Tasks), durable: newBits(spec.Tasks),
+			parts: map[int]uint64{}, dirty: map[int]bool{}, Placed: map[int]Place{}, FailedOn: map[string]bool{}}
+		if len(spec.Types) > 0 {
+			j.Class0 = spec.Types[0]
+		}
+		b.Open[id] = j
+		// Keys sort so that c/ comes before o/: a mark read earlier counts now.
+		if _, ok := b.store.Mirror.Get(keyCancel + id); ok {
+			j.Cancelled = true
+		}
+	case strings.HasPrefix(c.Key, keyCancel):
+		id := c.Key[len(keyCancel):]
+		if j := b.Open[id]; j != nil && !c.Removed && !j.Cancelled {
+			j.Cancelled = true
+			b.log("info", "job cancelled", "job", id)
+		}
+	case strings.HasPrefix(c.Key, keyProgress):
+		id, part, ok := strings.Cut(c.Key[len(keyProgress):], "/")
+		k, err := strconv.Atoi(part)
+		j := b.Open[id]
+		if !ok || err != nil || j == nil || k < 0 || k*limits.ChunkTasks >= j.Tasks {
+			return
+		}
+		if c.Removed {
+			delete(j.parts, k)
+			return
+		}
+		var p progress
+		if wire.Decode(c.Entry.Value, &p) != nil {
+			return
+		}
+		j.parts[k] = c.Entry.Version
+		j.durable.merge(k, p.Done, j.Tasks)
+		j.DoneCount += len(j.Done.merge(k, p.Done, j.Tasks))
+	}
+}
+
+// Launched tells whether any owner may have launched tasks of the job.
+func (j *Job) Launched() bool { return len(j.parts) > 0 }
+
+// Prepare writes the mark that a job's tasks may be running, before the first
+// launch. It is done once Prepared is set.
+func (b *Book) Prepare(j *Job) {
+	if _, ok := j.parts[0]; ok {
+		j.Prepared = true
+		return
+	}
+	if !j.writing {
+		b.writePart(j, 0, statestore.Roster)
+	}
+}
+
+func (b *Book) writePart(j *Job, k int, prio statestore.Priority) {
+	j.writing = true
+	key := keyProgress + j.ID + "/" + strconv.Itoa(k)
+	text := j.Done.chunk(k)
+	delete(j.dirty, k)
+	t := wire.Txn{
+		Guards: []wire.Guard{b.Guard(j.Class0), {Key: keyOpen + j.ID, Version: j.version}, {Key: key, Version: j.parts[k]}},
+		Then:   []wire.Op{{Key: key, Value: progress{Done: text}}}}
+	b.store.Txn(prio, limits.StoreTimeout*2, t, func(r statestore.Reply) {
+		j.writing = false
+		var tr wire.TxnReply
+		if r.Status == statestore.OK && wire.Decode(r.Body, &tr) == nil {
+			j.parts[k] = max(j.parts[k], tr.Revision)
+			j.durable.merge(k, text, j.Tasks)
+			if k == 0 {
+				j.Prepared = true
+			}
+			return
+		}
+		j.dirty[k] = true // the mirror brings the version if it was applied after all
+		b.flushAt[j.ID] = b.now + limits.StoreBackoff
+	})
+}
+
+// Tick writes progress and completions of the jobs that this node owns, and
+// sends the waiting users' requests. may tells whether the owner may write;
+// gone whether no machine can hold tasks that have no known place.
+func (b *Book) Tick(now time.Duration, may bool, gone func(*Job) bool) {
+	if now > b.now {
+		b.now = now
+	}
+	b.sendSubmits()
+	b.sendAsks()
+	if !may {
+		return
+	}
+	flush := b.now >= b.nextFlush
+	if flush {
+		b.nextFlush = b.now + limits.BatchEvery
+	}
+	for _, id := range b.ids() {
+		j := b.Open[id]
+		if !j.Active || j.closing || b.now < b.flushAt[id] {
+			continue
+		}
+		switch {
+		case j.Cancelled:
+			if len(j.Placed) == 0 && gone(j) && !j.writing {
+				b.close(j, "")
+			}
+		case j.DoneCount == j.Tasks:
+			if !j.writing {
+				b.close(j, wire.StatusDone)
+			}
+		case flush && !j.writing && len(j.dirty) > 0:
+			for k := 0; k*limits.ChunkTasks < j.Tasks; k++ {
+				if j.dirty[k] {
+					b.writePart(j, k, statestore.Progress)
+					break
+				}
+			}
+		}
+	}
+}
+
+func (b *Book) ids() []string {
+	ids := make([]string, 0, len(b.Open))
+	for id := range b.Open {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// close removes a job, writing its final state first unless status is empty.
+// Done against cancelled is decided here: both need fin/ID to be absent.
+func (b *Book) close(j *Job, status string) {
+	j.closing = true
+	id := j.ID
+	t := wire.Txn{Guards: []wire.Guard{b.Guard(j.Class0), {Key: keyOpen + id, Version: j.version}}}
+	prio := statestore.Progress
+	if status != "" {
+		prio = statestore.Finish
+		t.Guards = append(t.Guards, wire.Guard{Key: keyFinal + id})
+		t.Then = append(t.Then, wire.Op{Key: keyFinal + id, Value: final{Status: status, Done: j.DoneCount}})
+	}
+	t.Then = append(t.Then, wire.Op{Remove: keyOpen + id})
+	if j.Cancelled {
+		t.Then = append(t.Then, wire.Op{Remove: keyCancel + id})
+	}
+	// Parts that don't fit into the transaction are swept later: without the
+	// job they mean nothing.
+	for k := 0; k*limits.ChunkTasks < j.Tasks; k++ {
+		if _, ok := j.parts[k]; ok && len(t.Then) < b.store.TxnOps {
+			t.Then = append(t.Then, wire.Op{Remove: keyProgress + id + "/" + strconv.Itoa(k)})
+		}
+	}
+	b.store.Txn(prio, limits.StoreTimeout*2, t, func(r statestore.Reply) {
+		j.closing = false
+		b.flushAt[id] = b.now + limits.StoreBackoff
+		if r.Status == statestore.OK {
+			j.closing = true
+			if status != "" {
+				b.remember(id, final{Status: status, Done: j.DoneCount})
+				b.log("info", "job over", "job", id, "status", status, "tasks", j.Tasks)
+			}
+			delete(b.Open, id)
+			delete(b.flushAt, id)
+		}
+	})
+}
+
+func (b *Book) remember(id string, f final) {
+	if _, ok := b.finals[id]; !ok {
+		b.finalOrder = append(b.finalOrder, id)
+		if len(b.finalOrder) > limits.FinalCache {
+			delete(b.finals, b.finalOrder[0])
+			b.finalOrder = b.finalOrder[1:]
+		}
+	}
+	b.finals[id] = f
+}
+
+// Shown records the counts that an owner tells, for display only.
+func (b *Book) Shown(id string, done, running int) {
+	if j := b.Open[id]; j != nil {
+		j.shownDone, j.shownRunning = done, running
+	}
+}
+
+func (b *Book) status(id string) wire.JobStatus {
+	if f, ok := b.finals[id]; ok {
+		return wire.JobStatus{ID: id, Status: f.Status, Done: f.Done}
+	}
+	s := wire.JobStatus{ID: id, Status: wire.StatusPending}
+	if j := b.Open[id]; j != nil {
+		if j.Active {
+			s.Done, s.Running = j.DoneCount, j.Running()
+		} else {
+			s.Done, s.Running = max(j.DoneCount, j.shownDone), j.shownRunning
+		}
+		if s.Running > 0 {
+			s.Status = wire.StatusRunning
+		}
+	}
+	return s
+}
+
+func (b *Book) String() string {
+	return fmt.Sprintf("%d open jobs, %d waiting requests", len(b.Open), b.waiting)
+}
--- /dev/null
+++ b/internal/jobs/users.go
@@ -0,0 +1,287 @@
+package jobs
+
+import (
+	"time"
+
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/statestore"
+	"umberpaddle/internal/wire"
+)
+
+// Answer is what a user gets.
+type Answer struct {
+	Status     int
+	Body       any
+	RetryAfter int
+}
+
+// Later tells a user to come back.
+func Later() Answer {
+	return Answer{Status: 503, Body: wire.ErrorBody{Error: "try again"}, RetryAfter: limits.RetryAfterS}
+}
+
+type submit struct {
+	job     *wire.Job
+	until   time.Duration
+	answers []func(Answer)
+	alone   bool
+}
+
+// ask is a question whether a job is final, or exists at all.
+type ask struct {
+	id     string
+	until  time.Duration
+	answer func(Answer)
+	cancel bool
+}
+
+// Full tells whether no more users' requests are taken.
+func (b *Book) Full() bool {
+	return b.waiting >= limits.MaxWaiting || len(b.Open) >= limits.MaxOpenJobs
+}
+
+// Known tells whether the job is certain to have been accepted.
+func (b *Book) Known(id string) bool {
+	if _, ok := b.finals[id]; ok {
+		return true
+	}
+	return b.Open[id] != nil
+}
+
+// Submit accepts a job: one transaction makes it durable, unless it exists.
+func (b *Book) Submit(now time.Duration, job *wire.Job, answer func(Answer)) {
+	b.now = max(b.now, now)
+	if s := b.byRef[job.ID]; s != nil {
+		s.answers = append(s.answers, answer)
+		return
+	}
+	if b.Full() {
+		answer(Answer{Status: 429, Body: wire.ErrorBody{Error: "too many requests wait"}, RetryAfter: limits.RetryAfterS})
+		return
+	}
+	s := &submit{job: job, until: b.now + limits.SubmitWait, answers: []func(Answer){answer}}
+	b.byRef[job.ID] = s
+	b.waiting++
+	b.submits = append(b.submits, s)
+}
+
+func (b *Book) settle(s *submit, first, rest Answer) {
+	if b.byRef[s.job.ID] == s {
+		delete(b.byRef, s.job.ID)
+	}
+	b.waiting--
+	for i, f := range s.answers {
+		if i == 0 {
+			f(first)
+		} else {
+			f(rest)
+		}
+	}
+	s.answers = nil
+}
+
+// sendSubmits groups the waiting submissions into transactions.
+func (b *Book) sendSubmits() {
+	for len(b.submits) > 0 {
+		n := 1
+		if !b.submits[0].alone {
+			for n < len(b.submits) && n < b.store.MaxWrites() && !b.submits[n].alone {
+				n++
+			}
+		}
+		group := b.submits[:n:n]
+		b.submits = b.submits[n:]
+		b.commit(group)
+	}
+	b.submits = nil
+}
+
+func (b *Book) commit(group []*submit) {
+	var t wire.Txn
+	for _, s := range group {
+		t.Guards = append(t.Guards, wire.Guard{Key: keyOpen + s.job.ID}, wire.Guard{Key: keyFinal + s.job.ID})
+		t.Then = append(t.Then, wire.Op{Key: keyOpen + s.job.ID, Value: s.job})
+	}
+	b.store.Txn(statestore.User, limits.SubmitWait, t, func(r statestore.Reply) {
+		var tr wire.TxnReply
+		decoded := wire.Decode(r.Body, &tr) == nil
+		switch {
+		case r.Status == statestore.OK && decoded:
+			for _, s := range group {
+				// The mirror may have it already, or even have seen it end.
+				if b.Open[s.job.ID] == nil && b.store.Mirror.Revision < tr.Revision {
+					raw, _ := wire.Encode(s.job)
+					b.store.Mirror.Put(keyOpen+s.job.ID, raw, tr.Revision)
+				}
+				b.log("info", "job accepted", "job", s.job.ID, "team", s.job.Team, "tasks", s.job.Tasks)
+				st := wire.JobStatus{ID: s.job.ID, Status: wire.StatusPending}
+				b.settle(s, Answer{Status: 201, Body: st}, Answer{Status: 200, Body: st})
+			}
+		case r.Status == statestore.Conflict && decoded:
+			failed := map[string]bool{}
+			for _, k := range tr.Failed {
+				failed[k] = true
+			}
+			for _, s := range group {
+				s := s
+				if failed[keyOpen+s.job.ID] || failed[keyFinal+s.job.ID] {
+					// Known already: the present state, as a query would tell it.
+					b.ask(&ask{id: s.job.ID, until: s.until, answer: func(a Answer) { b.settle(s, a, a) }})
+				} else {
+					b.again(s)
+				}
+			}
+		default:
+			// Not executed, or perhaps executed later: the user asks again, and
+			// the guards make one job of it.
+			for _, s := range group {
+				b.settle(s, Later(), Later())
+			}
+		}
+	})
+}
+
+func (b *Book) again(s *submit) {
+	if b.now >= s.until {
+		b.settle(s, Later(), Later())
+		return
+	}
+	s.alone = true
+	b.submits = append(b.submits, s)
+}
+
+// Query answers with a state that is no older than the question.
+func (b *Book) Query(now time.Duration, id string, answer func(Answer)) {
+	b.now = max(b.now, now)
+	b.ask(&ask{id: id, until: b.now + limits.PollWait, answer: answer})
+}
+
+// Cancel cancels a job unless it is over.
+func (b *Book) Cancel(now time.Duration, id string, answer func(Answer)) {
+	b.now = max(b.now, now)
+	b.ask(&ask{id: id, until: b.now + limits.SubmitWait, answer: answer, cancel: true})
+}
+
+func (b *Book) ask(a *ask) {
+	if f, ok := b.finals[a.id]; ok {
+		a.answer(Answer{Status: 200, Body: wire.JobStatus{ID: a.id, Status: f.Status, Done: f.Done}})
+		return
+	}
+	if b.waiting >= 2*limits.MaxWaiting {
+		a.answer(Answer{Status: 429, Body: wire.ErrorBody{Error: "too many requests wait"}, RetryAfter: limits.RetryAfterS})
+		return
+	}
+	b.waiting++
+	inner := a.answer
+	a.answer = func(x Answer) { b.waiting--; inner(x) }
+	b.asks = append(b.asks, a)
+}
+
+// sendAsks compares the versions of many jobs' keys in one transaction that
+// changes nothing: an absent final state proves that the job was not over then,
+// and absent both keys that it did not exist.
+func (b *Book) sendAsks() {
+	if b.asking || len(b.asks) == 0 {
+		return
+	}
+	var t wire.Txn
+	var group []*ask
+	for len(b.asks) > 0 && len(t.Guards)+2 <= b.store.TxnGuards {
+		a := b.asks[0]
+		b.asks = b.asks[1:]
+		if a.cancel && b.Open[a.id] != nil {
+			b.cancel(a, b.Open[a.id].version)
+			continue
+		}
+		t.Guards = append(t.Guards, wire.Guard{Key: keyFinal + a.id})
+		if b.Open[a.id] == nil {
+			t.Guards = append(t.Guards, wire.Guard{Key: keyOpen + a.id})
+		}
+		group = append(group, a)
+	}
+	if len(group) == 0 {
+		return
+	}
+	b.asking = true
+	b.store.Txn(statestore.User, limits.PollWait, t, func(r statestore.Reply) {
+		b.asking = false
+		var tr wire.TxnReply
+		if (r.Status != statestore.OK && r.Status != statestore.Conflict) || wire.Decode(r.Body, &tr) != nil {
+			for _, a := range group {
+				a.answer(Later())
+			}
+			return
+		}
+		failed := map[string]bool{}
+		for _, k := range tr.Failed {
+			failed[k] = true
+		}
+		asked := map[string]bool{}
+		for _, g := range t.Guards {
+			asked[g.Key] = true
+		}
+		for _, a := range group {
+			switch {
+			case failed[keyFinal+a.id]:
+				b.readFinal(a)
+			case asked[keyOpen+a.id] && !failed[keyOpen+a.id]:
+				a.answer(Answer{Status: 404, Body: wire.ErrorBody{Error: "no such job"}})
+			case a.cancel:
+				b.readOpen(a)
+			default:
+				a.answer(Answer{Status: 200, Body: b.status(a.id)})
+			}
+		}
+	})
+}
+
+func (b *Book) readFinal(a *ask) {
+	b.store.Get(statestore.User, limits.PollWait, keyFinal+a.id, func(r statestore.Reply) {
+		var row wire.Row
+		var f final
+		if r.Status != statestore.OK || wire.Decode(r.Body, &row) != nil || wire.Decode(row.Value, &f) != nil || f.Status == "" {
+			a.answer(Later())
+			return
+		}
+		b.remember(a.id, f)
+		a.answer(Answer{Status: 200, Body: wire.JobStatus{ID: a.id, Status: f.Status, Done: f.Done}})
+	})
+}
+
+// readOpen finds the version of a job that the mirror doesn't have yet.
+func (b *Book) readOpen(a *ask) {
+	b.store.Get(statestore.User, limits.PollWait, keyOpen+a.id, func(r statestore.Reply) {
+		var row wire.Row
+		if r.Status != statestore.OK || wire.Decode(r.Body, &row) != nil {
+			a.answer(Later())
+			return
+		}
+		b.cancel(a, row.Version)
+	})
+}
+
+func (b *Book) cancel(a *ask, version uint64) {
+	done := 0
+	if j := b.Open[a.id]; j != nil {
+		done = max(j.DoneCount, j.shownDone)
+	}
+	f := final{Status: wire.StatusCancelled, Done: done}
+	t := wire.Txn{
+		Guards: []wire.Guard{{Key: keyOpen + a.id, Version: version}, {Key: keyFinal + a.id}},
+		Then:   []wire.Op{{Key: keyFinal + a.id, Value: f}, {Key: keyCancel + a.id, Value: true}}}
+	b.store.Txn(statestore.User, limits.SubmitWait, t, func(r statestore.Reply) {
+		switch r.Status {
+		case statestore.OK:
+			b.remember(a.id, f)
+			if j := b.Open[a.id]; j != nil && !j.Cancelled {
+				j.Cancelled = true
+				b.log("info", "job cancelled", "job", a.id)
+			}
+			a.answer(Answer{Status: 200, Body: wire.JobStatus{ID: a.id, Status: f.Status, Done: f.Done}})
+		case statestore.Conflict:
+			b.readFinal(a)
+		default:
+			a.answer(Later())
+		}
+	})
+}
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,180 @@
+// Package limits holds every constant of the service: its value, its unit in
+// the name or type, and the reason for it. Deployment figures (report
+// intervals, leases, budgets) come from the settings file and are not here.
+package limits
+
+import "time"
+
+// The wire.
+const (
+	// MaxBodyBytes bounds every request and response body, as the protocol sets.
+	MaxBodyBytes = 64 << 10
+	// MaxStoreBodyBytes bounds replies of the state service and the cloud, whose
+	// pages may reach 512 KiB and whose watch answers have no limit of their own.
+	MaxStoreBodyBytes = 8 << 20
+	// MaxTasks is the most tasks that one job may have, as the protocol sets.
+	MaxTasks = 100_000
+	// MaxTextBytes bounds free text that a job record keeps, so that the record
+	// fits the smallest value size of the state service.
+	MaxTextBytes = 200
+	// MaxTypesListed bounds the machine types one job may list.
+	MaxTypesListed = 1000
+)
+
+// The steady clock.
+const (
+	// ClockDrift is the relative drift allowed between two steady clocks; the
+	// protocol promises 0.05%, doubled here because both ends may drift.
+	ClockDrift = 0.001
+	// LeaseMargin is taken off every lease that this node holds and added to
+	// every lease that others hold: it covers timer steps and scheduling delay
+	// between reading the clock and the packet leaving.
+	LeaseMargin = 300 * time.Millisecond
+)
+
+// Ownership.
+const (
+	// NodeLease is the life of a controller's state lease. Shorter finds a dead
+	// owner sooner; longer rides out slow renewals on a small processor share.
+	NodeLease = 4 * time.Second
+	// RenewEvery leaves three tries within one NodeLease.
+	RenewEvery = time.Second
+	// PromiseLife is how long a peer's promise not to take over lasts. A
+	// restarted peer waits this long before it takes over from another, so it
+	// stays below NodeLease.
+	PromiseLife = 3 * time.Second
+	// PromiseEvery is how often a suspended owner asks for promises anew.
+	PromiseEvery = 700 * time.Millisecond
+	// StoreQuiet is how long the state service must have been unreachable for a
+	// peer before it believes in an outage and gives promises.
+	StoreQuiet = 1500 * time.Millisecond
+	// ElectionJitter spreads the claims of candidates so that failed
+	// conditions don't use up the write budget.
+	ElectionJitter = 150 * time.Millisecond
+	// RemapEvery is how often the leader compares the mapping with the demand.
+	RemapEvery = 500 * time.Millisecond
+	// RetryClaim spaces repeated claims of the same key.
+	RetryClaim = 500 * time.Millisecond
+)
+
+// The state service.
+const (
+	// OwnerWeight is an owner's part of the budget for each part of a node that
+	// only takes in users' requests.
+	OwnerWeight = 3.0
+	// StoreTimeout is how long a request to the state service may take; normal
+	// answers take milliseconds, slow ones a few hundred.
+	StoreTimeout = 1500 * time.Millisecond
+	// WatchHold is how long a watch stays open without news; it also bounds for
+	// how long a watch that went silent stays unnoticed.
+	WatchHold = 5 * time.Second
+	// StoreInFlight bounds the requests at the state service at one time.
+	StoreInFlight = 12
+	// StoreQueue bounds the waiting requests; beyond it the stages before hold back.
+	StoreQueue = 2000
+	// StoreBackoff spaces requests after a refusal.
+	StoreBackoff = 300 * time.Millisecond
+	// BudgetUse is the part of the request budget that the nodes use together,
+	// so that views of who owns what may lag without 429s.
+	BudgetUse = 0.9
+	// ChunkTasks is the number of tasks whose done bits share one key: 2 KiB of
+	// bits, 2.7 KiB as text, which fits a 4 KiB value.
+	ChunkTasks = 16384
+	// BatchEvery is the pause between two writes of done bits (design).
+	BatchEvery = 2 * time.Second
+	// MirrorPage is the page size when the mirror is read.
+	MirrorPage = 500
+)
+
+// Users.
+const (
+	// SubmitWait is how long a submission may wait for the state service before
+	// the user is told to come back.
+	SubmitWait = 2500 * time.Millisecond
+	// PollWait is the same for a query; users wait 2 s.
+	PollWait = 1500 * time.Millisecond
+	// MaxWaiting bounds requests of users that wait in this node.
+	MaxWaiting = 400
+	// FinalCache bounds the final job states that are kept in memory.
+	FinalCache = 4096
+	// RetryAfterS is what refused users are told, in seconds.
+	RetryAfterS = 1
+	// MaxOpenJobs bounds unfinished jobs, and with them the memory of a node.
+	MaxOpenJobs = 20000
+	// ProgressEvery is how often an owner tells its peers the counts for display.
+	ProgressEvery = time.Second
+)
+
+// Machines.
+const (
+	// SilentReports is how many report intervals (at the slowest pace) a machine
+	// may be silent before it is deleted to free its tasks.
+	SilentReports = 3
+	// SilentFloor is the least silence that counts, beyond a worker's change of node.
+	SilentFloor = 7 * time.Second
+	// BootFactor times the nominal boot time plus BootSlack: after that a
+	// booting machine is given up.
+	BootFactor = 3.0
+	// BootSlack is added to the time for booting, for lists that lag.
+	BootSlack = 10 * time.Second
+	// IdleReturn is how long a machine is idle before it is returned.
+	IdleReturn = 30 * time.Second
+	// MinCharge is the least time that the cloud charges for.
+	MinCharge = 60 * time.Second
+	// HireBackoff spaces rental requests after a refusal of the same kind.
+	HireBackoff = 6 * time.Second
+	// HireMost is the most machines in one request, as the protocol sets.
+	HireMost = 50
+	// DeleteMost is the most names in one deletion, as the protocol sets.
+	DeleteMost = 100
+	// CloudTimeout bounds a request to the cloud.
+	CloudTimeout = 4 * time.Second
+	// CloudBackoff spaces requests after the cloud failed.
+	CloudBackoff = time.Second
+	// ListEvery spaces machine lists; TypesEvery the price list.
+	ListEvery  = 5 * time.Second
+	TypesEvery = 30 * time.Second
+	// CloudBudget is the part of the cloud's request budget used.
+	CloudBudget = 0.8
+	// StrikesOut is how many failed tasks in a row, of jobs not known to be bad,
+	// condemn a machine.
+	StrikesOut = 3
+	// BadJobMachines is on how many machines a job's tasks fail without a
+	// success before the job is taken for faulty.
+	BadJobMachines = 3
+	// BadJobSlots is how many tasks of a faulty job may run at a time.
+	BadJobSlots = 2
+	// RetryBase and RetryMost bound the exponential backoff of a faulty job.
+	RetryBase = 2 * time.Second
+	RetryMost = 60 * time.Second
+	// PlanEvery is how often the need for machines is reckoned.
+	PlanEvery = 500 * time.Millisecond
+	// MaxCommands bounds the commands of one answer, well inside MaxBodyBytes.
+	MaxCommands = 200
+	// AttemptBits is the width of the counter below the term in an attempt
+	// number; terms up to 2^33 then stay below 2^53.
+	AttemptBits = 20
+	// DrainSpare is kept between a saving task's end and the machine's recall.
+	DrainSpare = 2 * time.Second
+)
+
+// The process.
+const (
+	// TickEvery is the pace of the event loop's own work.
+	TickEvery = 100 * time.Millisecond
+	// Inbox bounds events that wait for the event loop.
+	Inbox = 1024
+	// MemoryUse is the part of ram_mb that the Go heap may take.
+	MemoryUse = 0.7
+	// PeerCalls bounds the calls that wait for one peer.
+	PeerCalls = 4
+	// PeerTimeout bounds a call between controllers.
+	PeerTimeout = time.Second
+	// EdgeTimeout is when the HTTP edge gives up on the event loop.
+	EdgeTimeout = 3500 * time.Millisecond
+	// SocketReserve is the part of max_sockets kept from users, for workers,
+	// probes and this node's own connections.
+	SocketReserve = 0.4
+	// UserIdle closes idle connections of users and workers.
+	UserIdle = 90 * time.Second
+)
--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,494 @@
+// Package ownership decides which controller acts for which machine class:
+// this node's state lease, the leader's mapping of RDUCs to owners, claims and
+// their terms, and the promises that carry an owner over a state outage.
+//
+// Everything is derived from the mirror: a class is ours once the mirror shows
+// our claim, whose version is the term. So a claim whose answer was lost, or
+// that was executed late, needs no case of its own.
+package ownership
+
+import (
+	"net/url"
+	"sort"
+	"strings"
+	"time"
+
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/statestore"
+	"umberpaddle/internal/wire"
+)
+
+// Keys under the mirror's root.
+const (
+	keyLeader = statestore.Root + "leader"
+	keyNode   = statestore.Root + "n/"
+	keyMap    = statestore.Root + "map/"
+	keyOwn    = statestore.Root + "own/"
+	keyLast   = statestore.Root + "last/"
+)
+
+// holder is the value of keys that name a process.
+type holder struct {
+	Node  string `msgpack:"n"`
+	Inc   uint64 `msgpack:"i"`
+	Lease uint64 `msgpack:"l,omitempty"`
+}
+
+type record struct {
+	holder
+	version uint64
+}
+
+// Claim is a class that this process owns.
+type Claim struct {
+	Class string
+	Term  uint64
+	Since time.Duration // when this process began to act on the claim
+}
+
+// Node is the slice's state.
+type Node struct {
+	Name string
+	Inc  uint64
+
+	store  *statestore.Store
+	others []string
+	log    func(level, msg string, args ...any)
+	now    time.Duration
+	start  time.Duration
+
+	lease     uint64
+	leaseEnd  time.Duration
+	leasing   bool
+	nextRenew time.Duration
+
+	leader record
+	nodes  map[string]record
+	maps   map[string]record
+	owns   map[string]record
+	last   map[string]string
+	ended  map[uint64]bool // leases of our earlier incarnations being ended
+
+	claims    map[string]*Claim
+	busy      map[string]time.Duration // key -> no new attempt before
+	nextRemap time.Duration
+	jitter    time.Duration
+
+	promisedUntil time.Duration            // we claim nothing before this
+	promises      map[string]time.Duration // peers' promises to us, until
+	nextAsk       time.Duration
+}
+
+// New makes the slice. inc is a random number that names this process's life.
+func New(name string, others []string, inc uint64, start time.Duration, store *statestore.Store, log func(string, string, ...any)) *Node {
+	return &Node{Name: name, Inc: inc, store: store, others: others, log: log, now: start, start: start,
+		nodes: map[string]record{}, maps: map[string]record{}, owns: map[string]record{}, last: map[string]string{},
+		ended: map[uint64]bool{}, claims: map[string]*Claim{}, busy: map[string]time.Duration{}, promises: map[string]time.Duration{},
+		jitter: time.Duration(inc % uint64(limits.ElectionJitter))}
+}
+
+func classKey(class string) string { return url.PathEscape(class) }
+
+func classOf(key, prefix string) string {
+	s, err := url.PathUnescape(strings.TrimPrefix(key, prefix))
+	if err != nil {
+		return ""
+	}
+	return s
+}
+
+// Apply follows a change of the mirror.
+func (n *Node) Apply(c statestore.Change) {
+	var r record
+	if !c.Removed {
+		if err := wire.Decode(c.Entry.Value, &r.holder); err != nil {
+			return
+		}
+		r.version = c.Entry.Version
+	}
+	put := func(m map[string]record, prefix string) {
+		class := classOf(c.Key, prefix)
+		if c.Removed {
+			delete(m, class)
+		} else {
+			m[class] = r
+		}
+	}
+	switch {
+	case c.Key == keyLeader:
+		if r.Node != n.leader.Node || r.Inc != n.leader.Inc {
+			n.log("info", "leader changed", "leader", r.Node, "before", n.leader.Node, "term", r.version)
+		}
+		n.leader = r
+	case strings.HasPrefix(c.Key, keyNode):
+		put(n.nodes, keyNode)
+	case strings.HasPrefix(c.Key, keyMap):
+		put(n.maps, keyMap)
+	case strings.HasPrefix(c.Key, keyOwn):
+		put(n.owns, keyOwn)
+	case strings.HasPrefix(c.Key, keyLast):
+		if !c.Removed {
+			n.last[classOf(c.Key, keyLast)] = r.Node
+		}
+	default:
+		return
+	}
+	// A key of our own earlier life: that process is dead for sure, so its
+	// lease need not be waited out.
+	if r.Node == n.Name && r.Inc != n.Inc && r.Lease != 0 && !n.ended[r.Lease] {
+		n.ended[r.Lease] = true
+		n.endLease(r.Lease)
+	}
+}
+
+func (n *Node) endLease(lease uint64) {
+	n.store.EndLease(lease, func(r statestore.Reply) {
+		if r.Status != statestore.OK && r.Status != statestore.NotFound && r.Status != 204 {
+			delete(n.ended, lease)
+			for _, m := range []map[string]record{n.nodes, n.owns, {"": n.leader}} {
+				for _, rec := range m {
+					if rec.Lease == lease && !n.ended[lease] {
+						n.ended[lease] = true
+						n.endLease(lease)
+					}
+				}
+			}
+		}
+	})
+}
+
+// LeaseValid tells whether our state lease is certainly alive.
+func (n *Node) LeaseValid() bool { return n.lease != 0 && n.now < n.leaseEnd }
+
+// Leading tells whether this process is the leader.
+func (n *Node) Leading() bool {
+	return n.leader.Node == n.Name && n.leader.Inc == n.Inc && n.LeaseValid()
+}
+
+// Claims lists what this process owns, whether or not it may act right now.
+func (n *Node) Claims() map[string]*Claim { return n.claims }
+
+// MayLaunch tells whether an owner may start work and act on its claims.
+func (n *Node) MayLaunch() bool { return n.LeaseValid() }
+
+// MayAnswer tells whether an owner may answer its workers: its lease is valid,
+// or every peer has promised not to take over.
+func (n *Node) MayAnswer() bool {
+	if n.LeaseValid() {
+		return true
+	}
+	if n.lease == 0 {
+		return false
+	}
+	for _, o := range n.others {
+		if n.now+limits.LeaseMargin >= n.promises[o] {
+			return false
+		}
+	}
+	return true
+}
+
+// Owner names the node that workers of a class should report to.
+func (n *Node) Owner(class string) string {
+	if r, ok := n.owns[class]; ok {
+		return r.Node
+	}
+	if r, ok := n.maps[class]; ok {
+		if _, alive := n.nodes[r.Node]; alive {
+			return r.Node
+		}
+	}
+	return ""
+}
+
+// Owners counts the nodes that own classes.
+func (n *Node) Owners() map[string]bool {
+	m := map[string]bool{}
+	for _, r := range n.owns {
+		m[r.Node] = true
+	}
+	return m
+}
+
+// Guard is the condition that a write by the owner of class carries.
+func (n *Node) Guard(class string) wire.Guard {
+	var term uint64
+	if c := n.claims[class]; c != nil {
+		term = c.Term
+	}
+	return wire.Guard{Key: keyOwn + classKey(class), Version: term}
+}
+
+// AskPromise answers a peer that wishes to go on answering its workers for the
+// given classes and terms: yes if the state service is out of our reach as
+// well and nobody is known to have followed that peer. The promise holds from now.
+func (n *Node) AskPromise(now time.Duration, terms map[string]uint64) bool {
+	if now > n.now {
+		n.now = now
+	}
+	if !n.store.Mirror.Loaded {
+		// We know nothing yet, so we take over nothing; but we don't know
+		// either whether the state service fails everybody.
+		if n.store.LastFail == 0 {
+			return false
+		}
+	}
+	if !n.store.Down() {
+		return false
+	}
+	// Guards against a deposed owner that asks in an outage which began after
+	// its successor took over: the successor knows its own claim.
+	for class, term := range terms {
+		if r, ok := n.owns[class]; ok && r.version > term {
+			return false
+		}
+	}
+	until := n.now + limits.PromiseLife + limits.LeaseMargin
+	if until > n.promisedUntil {
+		n.promisedUntil = until
+	}
+	return true
+}
+
+// Promised records a peer's answer to a request that left at sent.
+func (n *Node) Promised(peer string, sent time.Duration, yes bool) {
+	if !yes {
+		n.promises[peer] = 0
+		return
+	}
+	n.promises[peer] = sent + time.Duration(float64(limits.PromiseLife)*(1-limits.ClockDrift))
+}
+
+// Terms lists the terms of our claims by class.
+func (n *Node) Terms() map[string]uint64 {
+	m := map[string]uint64{}
+	for c, cl := range n.claims {
+		m[c] = cl.Term
+	}
+	return m
+}
+
+// WantPromises tells whether peers should be asked for promises now.
+func (n *Node) WantPromises() bool {
+	if len(n.claims) == 0 || !n.store.Down() || n.now < n.nextAsk {
+		return false
+	}
+	n.nextAsk = n.now + limits.PromiseEvery
+	return true
+}
+
+// Tick advances time. classes are the machine types known, demand what the
+// unfinished jobs may use.
+func (n *Node) Tick(now time.Duration, classes []string, demand func() Demand) {
+	if now > n.now {
+		n.now = now
+	}
+	if !n.store.Mirror.Loaded {
+		return
+	}
+	n.keepLease()
+	n.followClaims()
+	if !n.LeaseValid() {
+		return
+	}
+	n.announce()
+	n.elect()
+	if n.Leading() && n.now >= n.nextRemap && len(classes) > 0 {
+		n.nextRemap = n.now + limits.RemapEvery
+		n.remap(classes, demand())
+	}
+	n.claim()
+}
+
+func (n *Node) keepLease() {
+	if n.leasing || n.now < n.nextRenew {
+		return
+	}
+	n.leasing = true
+	n.nextRenew = n.now + limits.RenewEvery
+	if n.lease == 0 {
+		n.store.NewLease(limits.NodeLease, func(r statestore.Reply) {
+			n.leasing = false
+			var l wire.LeaseReply
+			if r.Status == statestore.OK && wire.Decode(r.Body, &l) == nil && l.Lease != 0 {
+				n.lease = l.Lease
+				n.extend(r.SentAt)
+			}
+		})
+		return
+	}
+	lease := n.lease
+	n.store.Renew(lease, func(r statestore.Reply) {
+		n.leasing = false
+		if lease != n.lease {
+			return
+		}
+		switch r.Status {
+		case statestore.OK:
+			n.extend(r.SentAt)
+		case statestore.NotFound:
+			n.log("info", "state lease lost", "lease", lease)
+			n.lease, n.leaseEnd, n.nextRenew = 0, 0, 0
+			n.dropClaims()
+		}
+	})
+}
+
+func (n *Node) extend(sent time.Duration) {
+	end := sent + time.Duration(float64(limits.NodeLease)*(1-limits.ClockDrift)) - limits.LeaseMargin
+	if end > n.leaseEnd {
+		n.leaseEnd = end
+	}
+}
+
+func (n *Node) dropClaims() {
+	for class, c := range n.claims {
+		n.log("info", "class given up", "class", class, "term", c.Term)
+		delete(n.claims, class)
+	}
+}
+
+// mine tells whether a record is attached to our present lease.
+func (n *Node) mine(r record) bool {
+	return r.Node == n.Name && r.Inc == n.Inc && r.Lease == n.lease && n.lease != 0
+}
+
+// followClaims makes the claims match the mirror.
+func (n *Node) followClaims() {
+	for class, c := range n.claims {
+		r, ok := n.owns[class]
+		if !ok || !n.mine(r) || r.version != c.Term || n.maps[class].Node != n.Name {
+			n.log("info", "class given up", "class", class, "term", c.Term)
+			delete(n.claims, class)
+		}
+	}
+	if !n.LeaseValid() {
+		return
+	}
+	for class, r := range n.owns {
+		if !n.mine(r) || n.claims[class] != nil {
+			continue
+		}
+		if n.maps[class].Node != n.Name {
+			n.try(keyOwn+class, wire.Txn{
+				Guards: []wire.Guard{{Key: keyOwn + classKey(class), Version: r.version}},
+				Then:   []wire.Op{{Remove: keyOwn + classKey(class)}}})
+			continue
+		}
+		// A peer that holds our promise, or may hold one of an earlier life
+		// of ours, can still be answering the workers.
+		if n.now < n.promisedUntil || !n.pastOldPromises(class) {
+			continue
+		}
+		n.claims[class] = &Claim{Class: class, Term: r.version, Since: n.now}
+		n.log("info", "class taken over", "class", class, "term", r.version)
+	}
+}
+
+// pastOldPromises tells whether promises given before a restart are over, or
+// can't concern the class since its last owner was this node itself.
+func (n *Node) pastOldPromises(class string) bool {
+	return n.now >= n.start+limits.PromiseLife+2*limits.LeaseMargin || n.last[class] == n.Name
+}
+
+func (n *Node) self() holder { return holder{Node: n.Name, Inc: n.Inc, Lease: n.lease} }
+
+// try sends a transaction about a key, unless one was sent just before.
+func (n *Node) try(key string, t wire.Txn) {
+	if n.now < n.busy[key] {
+		return
+	}
+	n.busy[key] = n.now + limits.RetryClaim
+	n.store.Txn(statestore.Lease, limits.StoreTimeout, t, func(r statestore.Reply) {
+		// The mirror tells the outcome; a refusal may be tried again at once.
+		if r.Refused() {
+			n.busy[key] = n.now + limits.StoreBackoff
+		}
+	})
+}
+
+func (n *Node) announce() {
+	if r, ok := n.nodes[n.Name]; !ok || !n.mine(r) {
+		key := keyNode + classKey(n.Name)
+		var v uint64
+		if ok {
+			v = r.version
+		}
+		n.try(key, wire.Txn{Guards: []wire.Guard{{Key: key, Version: v}}, Then: []wire.Op{{Key: key, Value: n.self(), Lease: n.lease}}})
+	}
+}
+
+func (n *Node) elect() {
+	if n.leader.Node != "" {
+		n.busy["elect"] = n.now + n.jitter
+		return
+	}
+	if n.now < n.busy["elect"] {
+		return
+	}
+	n.try(keyLeader, wire.Txn{Guards: []wire.Guard{{Key: keyLeader}}, Then: []wire.Op{{Key: keyLeader, Value: n.self(), Lease: n.lease}}})
+}
+
+// remap writes the mapping where it differs from what it should be.
+func (n *Node) remap(classes []string, d Demand) {
+	alive := map[string]bool{n.Name: true}
+	for name := range n.nodes {
+		alive[name] = true
+	}
+	owner := map[string]string{}
+	all := append([]string(nil), classes...)
+	for c, r := range n.maps {
+		owner[c] = r.Node
+		all = append(all, c)
+	}
+	for c, r := range n.owns {
+		owner[c] = r.Node
+	}
+	want := Assign(RDUCs(d), all, owner, alive, n.Name)
+	names := make([]string, 0, len(want))
+	for c := range want {
+		names = append(names, c)
+	}
+	sort.Strings(names)
+	t := wire.Txn{Guards: []wire.Guard{{Key: keyLeader, Version: n.leader.version}}}
+	for _, c := range names {
+		if n.maps[c].Node != want[c] && len(t.Then) < n.store.MaxWrites() {
+			key := keyMap + classKey(c)
+			t.Guards = append(t.Guards, wire.Guard{Key: key, Version: n.maps[c].version})
+			t.Then = append(t.Then, wire.Op{Key: key, Value: holder{Node: want[c]}})
+			n.log("info", "class mapped", "class", c, "owner", want[c], "before", n.maps[c].Node)
+		}
+	}
+	if len(t.Then) > 0 {
+		n.try("remap", t)
+	}
+}
+
+// claim asks for the classes that are mapped to us and held by nobody. The last
+// owner is written along, for pastOldPromises.
+func (n *Node) claim() {
+	names := make([]string, 0, len(n.maps))
+	for c := range n.maps {
+		names = append(names, c)
+	}
+	sort.Strings(names)
+	var t wire.Txn
+	for _, c := range names {
+		m := n.maps[c]
+		if _, held := n.owns[c]; held || m.Node != n.Name || !n.pastOldPromises(c) || n.now < n.promisedUntil {
+			continue
+		}
+		if len(t.Then)+2 > n.store.TxnOps {
+			break
+		}
+		key := keyOwn + classKey(c)
+		t.Guards = append(t.Guards, wire.Guard{Key: key}, wire.Guard{Key: keyMap + classKey(c), Version: m.version})
+		t.Then = append(t.Then, wire.Op{Key: key, Value: n.self(), Lease: n.lease})
+		if n.last[c] != n.Name {
+			t.Then = append(t.Then, wire.Op{Key: keyLast + classKey(c), Value: holder{Node: n.Name}})
+		}
+	}
+	if len(t.Then) > 0 {
+		n.try("claim", t)
+	}
+}
--- /dev/null
+++ b/internal/statestore/mirror.go
@@ -0,0 +1,164 @@
+package statestore
+
+import (
+	"fmt"
+	"net/url"
+	"strings"
+	"time"
+
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/wire"
+)
+
+// Root is the prefix of the mirrored keys. Final job states stand outside it:
+// they are kept for ever and must not be in memory.
+const Root = "u/"
+
+// Entry is a mirrored key.
+type Entry struct {
+	Value   []byte
+	Version uint64
+}
+
+// Change is a change of the mirror, for the slices that follow it.
+type Change struct {
+	Key     string
+	Entry   Entry
+	Removed bool
+}
+
+// Mirror follows every key under Root: it reads them once and then watches.
+type Mirror struct {
+	s        *Store
+	keys     map[string]Entry
+	Revision uint64
+	Loaded   bool
+	busy     bool
+	retryAt  time.Duration
+	load     *loading
+	changes  []Change
+}
+
+type loading struct {
+	seen     map[string]bool
+	revision uint64
+	since    string
+}
+
+func newMirror(s *Store) *Mirror { return &Mirror{s: s, keys: map[string]Entry{}} }
+
+// Get reads a mirrored key.
+func (m *Mirror) Get(key string) (Entry, bool) {
+	e, ok := m.keys[key]
+	return e, ok
+}
+
+// Take returns the changes since the last call.
+func (m *Mirror) Take() []Change {
+	c := m.changes
+	m.changes = nil
+	return c
+}
+
+func (m *Mirror) set(key string, e Entry) {
+	if !strings.HasPrefix(key, Root) {
+		return
+	}
+	if old, ok := m.keys[key]; ok && old.Version >= e.Version {
+		return
+	}
+	m.keys[key] = e
+	m.changes = append(m.changes, Change{Key: key, Entry: e})
+}
+
+func (m *Mirror) remove(key string, version uint64) {
+	old, ok := m.keys[key]
+	if !ok || old.Version > version {
+		return
+	}
+	delete(m.keys, key)
+	m.changes = append(m.changes, Change{Key: key, Entry: old, Removed: true})
+}
+
+func (m *Mirror) tick() {
+	if m.busy || m.s.now < m.retryAt {
+		return
+	}
+	m.busy = true
+	if !m.Loaded || m.load != nil {
+		if m.load == nil {
+			m.load = &loading{seen: map[string]bool{}}
+		}
+		m.s.List(Lease, Root, m.load.since, m.listed)
+		return
+	}
+	hold := limits.WatchHold
+	path := fmt.Sprintf("/watch?starts=%s&since=%d&holdMs=%d", url.QueryEscape(Root), m.Revision, hold.Milliseconds())
+	m.s.reqs.level--
+	m.s.send(&request{method: "GET", path: path, done: m.watched}, hold+limits.StoreTimeout)
+}
+
+func (m *Mirror) fail() {
+	m.busy = false
+	m.retryAt = m.s.now + limits.StoreBackoff
+}
+
+func (m *Mirror) listed(r Reply) {
+	var rows wire.Rows
+	if r.Status != OK || wire.Decode(r.Body, &rows) != nil {
+		m.fail()
+		return
+	}
+	m.busy = false
+	l := m.load
+	if l.since == "" {
+		// The watch starts from the first page's revision: what changes while
+		// the later pages are read is told again, and versions sort it out.
+		l.revision = rows.Revision
+	}
+	for _, row := range rows.Rows {
+		l.seen[row.Key] = true
+		m.set(row.Key, Entry{row.Value, row.Version})
+		l.since = row.Key
+	}
+	if rows.More && len(rows.Rows) > 0 {
+		return
+	}
+	for k, e := range m.keys {
+		if !l.seen[k] {
+			m.remove(k, e.Version)
+		}
+	}
+	m.Revision = l.revision
+	m.load = nil
+	m.Loaded = true
+}
+
+func (m *Mirror) watched(r Reply) {
+	if r.Status == 410 {
+		m.busy = false
+		m.load = &loading{seen: map[string]bool{}}
+		return
+	}
+	var w wire.Watched
+	if r.Status != OK || wire.Decode(r.Body, &w) != nil {
+		m.fail()
+		return
+	}
+	m.busy = false
+	for _, e := range w.Events {
+		if e.Put != "" {
+			m.set(e.Put, Entry{e.Value, e.Version})
+		} else {
+			m.remove(e.Remove, e.Version)
+		}
+	}
+	if w.Revision > m.Revision {
+		m.Revision = w.Revision
+	}
+}
+
+// Put enters a key that this node has just written, ahead of the watch.
+func (m *Mirror) Put(key string, value []byte, version uint64) {
+	m.set(key, Entry{value, version})
+}
--- /dev/null
+++ b/internal/statestore/store.go
@@ -0,0 +1,255 @@
+// Package statestore is this node's side of the state service: a queue of
+// requests under a budget, and a mirror of the watched keys. It is a pure state
+// machine: requests come out as Calls, answers go in through Reply.
+package statestore
+
+import (
+	"fmt"
+	"net/url"
+	"time"
+
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/wire"
+)
+
+// Priority orders requests when the budget is short; lower goes first.
+type Priority int
+
+// Priorities, from the first served to the last.
+const (
+	Lease    Priority = iota // renewals and claims: without them nothing is allowed
+	User                     // submissions, cancellations and queries
+	Finish                   // completions
+	Roster                   // machines that wait to be used
+	Progress                 // done bits, clean-up
+	priorities
+)
+
+// Status of an answer, beyond the HTTP codes: NoAnswer means the request may
+// have been executed, or may be executed later.
+const (
+	NoAnswer = 0
+	OK       = 200
+	NotFound = 404
+	Conflict = 409
+)
+
+// Call is an HTTP request for the edge to make.
+type Call struct {
+	ID      uint64
+	Method  string
+	Path    string
+	Body    any
+	Timeout time.Duration
+}
+
+// Reply is what came of a request.
+type Reply struct {
+	Status int
+	Body   []byte
+	SentAt time.Duration // steady time at which the request left
+}
+
+// Refused tells that the request was certainly not executed.
+func (r Reply) Refused() bool { return r.Status == 503 || r.Status == 429 }
+
+type request struct {
+	prio   Priority
+	method string
+	path   string
+	body   any
+	writes int
+	tries  int
+	until  time.Duration // dropped unsent after this
+	done   func(Reply)
+}
+
+type flight struct {
+	req  *request
+	sent time.Duration
+}
+
+// bucket is a token bucket on injected time.
+type bucket struct {
+	rate, level float64
+	last        time.Duration
+}
+
+func (b *bucket) fill(now time.Duration) {
+	if now > b.last {
+		b.level = min(b.rate, b.level+b.rate*(now-b.last).Seconds())
+		b.last = now
+	}
+}
+
+// Store is the client's state.
+type Store struct {
+	now       time.Duration
+	rps, wps  float64
+	share     float64
+	reqs      bucket
+	writes    bucket
+	queues    [priorities][]*request
+	queued    int
+	flights   map[uint64]*flight
+	nextID    uint64
+	pause     time.Duration // no ordinary requests before this
+	out       []Call
+	LastOK    time.Duration // when the last answered request was sent
+	LastFail  time.Duration
+	Mirror    *Mirror
+	TxnOps    int
+	TxnGuards int
+}
+
+// New makes a client with the whole deployment's budget; Share sets its part.
+func New(rps, writeRPS float64, txnOps int) *Store {
+	s := &Store{rps: rps, wps: writeRPS, flights: map[uint64]*flight{}, TxnOps: txnOps, TxnGuards: 4 * txnOps}
+	s.Share(1.0 / 3)
+	s.reqs.level, s.writes.level = s.reqs.rate, s.writes.rate
+	s.Mirror = newMirror(s)
+	return s
+}
+
+// Share sets which part of the budget this node may use.
+func (s *Store) Share(part float64) {
+	s.share = part
+	s.reqs.rate = max(3, s.rps*part*limits.BudgetUse)
+	s.writes.rate = max(1, s.wps*part*limits.BudgetUse)
+}
+
+// MaxWrites is the most changes that one transaction of this node may hold.
+func (s *Store) MaxWrites() int { return max(1, min(s.TxnOps, int(s.writes.rate))) }
+
+// Txn queues a transaction. wait bounds the time in the queue (0: no bound);
+// done gets a 503 when it runs out.
+func (s *Store) Txn(p Priority, wait time.Duration, t wire.Txn, done func(Reply)) {
+	s.add(&request{prio: p, method: "POST", path: "/multi", body: t, writes: len(t.Then), until: s.until(wait), done: done})
+}
+
+// Get queues the reading of a key.
+func (s *Store) Get(p Priority, wait time.Duration, key string, done func(Reply)) {
+	s.add(&request{prio: p, method: "GET", path: "/kv/" + key, until: s.until(wait), done: done})
+}
+
+// List queues the reading of one page of keys.
+func (s *Store) List(p Priority, prefix, since string, done func(Reply)) {
+	q := fmt.Sprintf("/kv?starts=%s&page=%d", url.QueryEscape(prefix), limits.MirrorPage)
+	if since != "" {
+		q += "&since=" + url.QueryEscape(since)
+	}
+	s.add(&request{prio: p, method: "GET", path: q, done: done})
+}
+
+// NewLease, Renew and EndLease deal with leases.
+func (s *Store) NewLease(ttl time.Duration, done func(Reply)) {
+	s.add(&request{prio: Lease, method: "POST", path: "/leases", body: wire.LeaseRequest{TTLMs: ttl.Milliseconds()}, until: s.until(limits.StoreTimeout), done: done})
+}
+
+// Renew renews a lease. It is never retried from the queue: a late renewal is worth less than a new one.
+func (s *Store) Renew(lease uint64, done func(Reply)) {
+	s.add(&request{prio: Lease, method: "POST", path: fmt.Sprintf("/leases/%d/renew", lease), until: s.until(limits.RenewEvery), done: done})
+}
+
+// EndLease ends a lease at once.
+func (s *Store) EndLease(lease uint64, done func(Reply)) {
+	s.add(&request{prio: Lease, method: "DELETE", path: fmt.Sprintf("/leases/%d", lease), until: s.until(limits.StoreTimeout), done: done})
+}
+
+func (s *Store) until(wait time.Duration) time.Duration {
+	if wait == 0 {
+		return 0
+	}
+	return s.now + wait
+}
+
+// Backlog is how many requests wait.
+func (s *Store) Backlog() int { return s.queued }
+
+func (s *Store) add(r *request) {
+	if s.queued >= limits.StoreQueue && r.prio != Lease {
+		r.done(Reply{Status: 503, SentAt: s.now})
+		return
+	}
+	s.queues[r.prio] = append(s.queues[r.prio], r)
+	s.queued++
+}
+
+// Tick advances time and sends what the budget allows.
+func (s *Store) Tick(now time.Duration) []Call {
+	if now > s.now {
+		s.now = now
+	}
+	s.reqs.fill(now)
+	s.writes.fill(now)
+	s.Mirror.tick()
+	for p := range s.queues {
+		s.pump(Priority(p))
+	}
+	out := s.out
+	s.out = nil
+	return out
+}
+
+func (s *Store) pump(p Priority) {
+	q := s.queues[p]
+	kept := q[:0:0]
+	for i, r := range q {
+		if r.until != 0 && s.now >= r.until {
+			s.queued--
+			r.done(Reply{Status: 503, SentAt: s.now})
+			continue
+		}
+		urgent := p == Lease
+		// A transaction larger than the burst could wait for ever: a full
+		// bucket lets it go and takes on the debt.
+		need := min(float64(r.writes), s.writes.rate)
+		if !urgent && (s.now < s.pause || len(s.flights) >= limits.StoreInFlight || s.reqs.level < 1 || (r.writes > 0 && s.writes.level < need)) {
+			kept = append(kept, q[i:]...)
+			break
+		}
+		s.reqs.level--
+		s.writes.level -= float64(r.writes)
+		s.queued--
+		s.send(r, limits.StoreTimeout)
+	}
+	// Callbacks may have queued more.
+	if added := s.queues[p][len(q):]; len(added) > 0 {
+		kept = append(kept, added...)
+	}
+	s.queues[p] = kept
+}
+
+func (s *Store) send(r *request, timeout time.Duration) {
+	s.nextID++
+	s.flights[s.nextID] = &flight{req: r, sent: s.now}
+	s.out = append(s.out, Call{ID: s.nextID, Method: r.method, Path: r.path, Body: r.body, Timeout: timeout})
+}
+
+// Reply hands over what came of a call: its status, 0 for no answer.
+func (s *Store) Reply(now time.Duration, id uint64, status int, body []byte) {
+	if now > s.now {
+		s.now = now
+	}
+	f, ok := s.flights[id]
+	if !ok {
+		return
+	}
+	delete(s.flights, id)
+	switch {
+	case status == NoAnswer || status == 503:
+		s.LastFail = s.now
+		s.pause = s.now + limits.StoreBackoff
+	case status == 429:
+		s.pause = s.now + limits.StoreBackoff
+	default:
+		if f.sent > s.LastOK {
+			s.LastOK = f.sent
+		}
+	}
+	f.req.done(Reply{Status: status, Body: body, SentAt: f.sent})
+}
+
+// Down tells whether the state service seems out of reach: the newest failure
+// is newer than every success.
+func (s *Store) Down() bool { return s.LastFail > s.LastOK && s.LastFail > 0 }
--- /dev/null
+++ b/internal/wire/job.go
@@ -0,0 +1,214 @@
+package wire
+
+import (
+	"fmt"
+	"math"
+	"regexp"
+
+	"umberpaddle/internal/limits"
+)
+
+// Urgency ranks, highest first.
+var urgencies = map[string]int{"production": 3, "urgent": 2, "standard": 1, "low": 0}
+
+var jobID = regexp.MustCompile(`^job-[0-9]{1,18}$`)
+
+// ValidJobID tells whether id has the form of a job id.
+func ValidJobID(id string) bool { return jobID.MatchString(id) }
+
+// Job is a validated submission. It is also the record that the state service
+// keeps, so its fields have short names.
+type Job struct {
+	ID         string   `msgpack:"i"`
+	Class      string   `msgpack:"c,omitempty"`
+	Team       string   `msgpack:"t"`
+	Urgency    int      `msgpack:"u,omitempty"`
+	Tasks      int      `msgpack:"n"`
+	CPUs       float64  `msgpack:"p"`
+	GPUs       float64  `msgpack:"g,omitempty"`
+	MemoryGB   float64  `msgpack:"m"`
+	Image      string   `msgpack:"l,omitempty"`
+	ImageGB    float64  `msgpack:"lg,omitempty"`
+	Types      []string `msgpack:"b,omitempty"` // the types on which a task fits
+	Zone       string   `msgpack:"z,omitempty"`
+	OneZone    bool     `msgpack:"oz,omitempty"`
+	Spread     bool     `msgpack:"sp,omitempty"`
+	Spot       bool     `msgpack:"s,omitempty"`
+	EstimateS  float64  `msgpack:"e"`
+	CheckS     float64  `msgpack:"k,omitempty"`
+	SaveS      float64  `msgpack:"sv,omitempty"`
+	DeadlineS  float64  `msgpack:"d,omitempty"` // 0: none
+	SubmitUnix float64  `msgpack:"at"`          // time of day of acceptance, seconds
+}
+
+// Submission is a parsed submission before it meets the machine types.
+type Submission struct {
+	Job
+	AnyType bool
+	Listed  []string
+}
+
+// ParseSubmission checks the form of a submission. Its error is for the user.
+func ParseSubmission(body []byte) (*Submission, error) {
+	var m map[string]any
+	if err := Decode(body, &m); err != nil || m == nil {
+		return nil, fmt.Errorf("body is not a MessagePack map")
+	}
+	p := parser{m: m}
+	s := &Submission{}
+	s.ID = p.text("id", true)
+	if p.err == nil && !ValidJobID(s.ID) {
+		return nil, fmt.Errorf("id: want the form job-000412")
+	}
+	s.Class = clip(p.text("docket", true))
+	s.Team = p.text("crew", true)
+	if form := p.text("form", true); p.err == nil && form != "batch" {
+		return nil, fmt.Errorf("form: unknown value")
+	}
+	u := p.text("urgency", true)
+	rank, ok := urgencies[u]
+	if p.err == nil && !ok {
+		return nil, fmt.Errorf("urgency: unknown value")
+	}
+	s.Urgency = rank
+	n := p.number("sheets", true)
+	if p.err == nil && (n != math.Trunc(n) || n < 1 || n > limits.MaxTasks) {
+		return nil, fmt.Errorf("sheets: want a whole number from 1 to %d", limits.MaxTasks)
+	}
+	s.Tasks = int(n)
+	s.CPUs = p.number("cores", true)
+	s.GPUs = p.number("accelerators", false)
+	s.MemoryGB = p.number("ramGb", true)
+	s.Image = clip(p.text("plate", false))
+	s.ImageGB = p.number("imageGb", false)
+	s.Listed, s.AnyType = p.texts("builds")
+	s.Zone = p.text("valley", false)
+	s.OneZone = p.flag("oneZone")
+	s.Spread = p.flag("scatter")
+	s.Spot = p.flag("loaners")
+	s.EstimateS = p.number("reckonS", true)
+	s.CheckS = p.number("markS", false)
+	s.SaveS = p.number("stowS", false)
+	s.DeadlineS = p.number("dueS", false)
+	if p.err != nil {
+		return nil, p.err
+	}
+	return s, nil
+}
+
+// clip shortens text that is only shown or compared, so that records stay small.
+func clip(s string) string {
+	if len(s) > limits.MaxTextBytes {
+		return s[:limits.MaxTextBytes]
+	}
+	return s
+}
+
+type parser struct {
+	m   map[string]any
+	err error
+}
+
+func (p *parser) fail(name, want string) {
+	if p.err == nil {
+		p.err = fmt.Errorf("%s: %s", name, want)
+	}
+}
+
+func (p *parser) get(name string, must bool) (any, bool) {
+	v, ok := p.m[name]
+	if !ok || v == nil {
+		if must {
+			p.fail(name, "missing")
+		}
+		return nil, false
+	}
+	return v, true
+}
+
+func (p *parser) text(name string, must bool) string {
+	v, ok := p.get(name, must)
+	if !ok {
+		return ""
+	}
+	s, ok := v.(string)
+	if !ok || (must && s == "") {
+		p.fail(name, "want text")
+	}
+	return s
+}
+
+func (p *parser) texts(name string) (list []string, absent bool) {
+	v, ok := p.get(name, false)
+	if !ok {
+		return nil, true
+	}
+	items, ok := v.([]any)
+	if !ok || len(items) > limits.MaxTypesListed {
+		p.fail(name, "want a list of text")
+		return nil, false
+	}
+	for _, it := range items {
+		s, ok := it.(string)
+		if !ok {
+			p.fail(name, "want a list of text")
+			return nil, false
+		}
+		list = append(list, s)
+	}
+	return list, false
+}
+
+func (p *parser) flag(name string) bool {
+	v, ok := p.get(name, false)
+	if !ok {
+		return false
+	}
+	b, ok := v.(bool)
+	if !ok {
+		p.fail(name, "want true or false")
+	}
+	return b
+}
+
+func (p *parser) number(name string, must bool) float64 {
+	v, ok := p.get(name, must)
+	if !ok {
+		return 0
+	}
+	f, ok := AsFloat(v)
+	if !ok || math.IsNaN(f) || math.IsInf(f, 0) || f < 0 || f > 1e12 {
+		p.fail(name, "want a finite number, zero or more")
+		return 0
+	}
+	return f
+}
+
+// AsFloat converts any decoded number.
+func AsFloat(v any) (float64, bool) {
+	switch x := v.(type) {
+	case int8:
+		return float64(x), true
+	case int16:
+		return float64(x), true
+	case int32:
+		return float64(x), true
+	case int64:
+		return float64(x), true
+	case int:
+		return float64(x), true
+	case uint8:
+		return float64(x), true
+	case uint16:
+		return float64(x), true
+	case uint32:
+		return float64(x), true
+	case uint64:
+		return float64(x), true
+	case float32:
+		return float64(x), true
+	case float64:
+		return x, true
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,249 @@
+// Package wire holds the messages of the protocol: their names, encoding and
+// validation of form. The odd words of the wire live only here.
+package wire
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Task states and causes of a task's end, as workers report them.
+const (
+	TaskFetching = "fetching"
+	TaskRunning  = "running"
+	TaskSaving   = "saving"
+	TaskEnded    = "ended"
+
+	CauseDone   = "done"
+	CauseHalted = "halted"
+	CauseError  = "error"
+	CauseNoRoom = "no_room"
+	CauseInUse  = "in_use"
+	CauseNoSuch = "no_such"
+)
+
+// Verbs of commands.
+const (
+	VerbLaunch = "launch"
+	VerbStop   = "stop"
+	VerbClear  = "clear"
+)
+
+// Job states as users see them.
+const (
+	StatusPending   = "pending"
+	StatusRunning   = "running"
+	StatusDone      = "done"
+	StatusCancelled = "cancelled"
+)
+
+// JobStatus answers users.
+type JobStatus struct {
+	ID      string `msgpack:"id"`
+	Status  string `msgpack:"status"`
+	Done    int    `msgpack:"done"`
+	Running int    `msgpack:"running"`
+}
+
+// ErrorBody explains a refusal.
+type ErrorBody struct {
+	Error string `msgpack:"error"`
+}
+
+// TaskReport is one task of a report.
+type TaskReport struct {
+	Task    string `msgpack:"sheet"`
+	Attempt uint64 `msgpack:"try"`
+	State   string `msgpack:"status"`
+	Cause   string `msgpack:"cause"`
+	Saved   bool   `msgpack:"kept"`
+}
+
+// Report is what a worker sends, also as the body of /orders and /status.
+type Report struct {
+	Machine string       `msgpack:"hut"`
+	Address string       `msgpack:"address"`
+	Type    string       `msgpack:"build"`
+	Zone    string       `msgpack:"valley"`
+	Spot    bool         `msgpack:"loaners"`
+	Session uint64       `msgpack:"shift"`
+	Seq     uint64       `msgpack:"tally"`
+	Token   uint64       `msgpack:"baton"`
+	RecallS *float64     `msgpack:"recallS"`
+	Tasks   []TaskReport `msgpack:"sheets"`
+}
+
+// Command tells a worker what to do.
+type Command struct {
+	Verb    string  `msgpack:"verb"`
+	Task    string  `msgpack:"sheet"`
+	Attempt uint64  `msgpack:"try"`
+	GraceS  float64 `msgpack:"leewayS,omitempty"`
+}
+
+// ReportReply answers a report.
+type ReportReply struct {
+	Token    uint64    `msgpack:"baton"`
+	Commands []Command `msgpack:"orders"`
+}
+
+// Orders is a direct command message.
+type Orders struct {
+	Token    uint64    `msgpack:"baton"`
+	Session  uint64    `msgpack:"shift"`
+	Commands []Command `msgpack:"orders"`
+}
+
+// Redirect answers a report at the wrong node.
+type Redirect struct {
+	Owner string `msgpack:"steward,omitempty"`
+}
+
+// MachineType is one type that the cloud rents.
+type MachineType struct {
+	Name      string   `msgpack:"label"`
+	CPUs      float64  `msgpack:"cores"`
+	GPUs      float64  `msgpack:"accelerators"`
+	MemoryGB  float64  `msgpack:"ramGb"`
+	CacheGB   float64  `msgpack:"localGb"`
+	FetchGBps float64  `msgpack:"fetchGbPerS"`
+	Price     float64  `msgpack:"hourly"`
+	SpotPrice float64  `msgpack:"lowPrice"`
+	BootS     float64  `msgpack:"startupS"`
+	Zones     []string `msgpack:"valleys"`
+}
+
+// MachineTypes answers GET /machine_types.
+type MachineTypes struct {
+	Types []MachineType `msgpack:"builds"`
+}
+
+// Hire asks for machines; HireReply names them.
+type Hire struct {
+	Request string `msgpack:"hire"`
+	Type    string `msgpack:"build"`
+	Zone    string `msgpack:"valley"`
+	Spot    bool   `msgpack:"loaners"`
+	Count   int    `msgpack:"count"`
+}
+
+// Machines names machines, in a reply to Hire and in a deletion.
+type Machines struct {
+	Machines []string `msgpack:"huts"`
+}
+
+// ListedMachine is one entry of the cloud's list.
+type ListedMachine struct {
+	ID      string  `msgpack:"id"`
+	Address string  `msgpack:"address"`
+	Type    string  `msgpack:"build"`
+	Zone    string  `msgpack:"valley"`
+	Spot    bool    `msgpack:"loaners"`
+	Status  string  `msgpack:"status"`
+	AgeS    float64 `msgpack:"ageS"`
+}
+
+// MachineList is one page of the cloud's list.
+type MachineList struct {
+	Machines []ListedMachine `msgpack:"huts"`
+	More     bool            `msgpack:"hasNext"`
+}
+
+// Statuses of listed machines.
+const (
+	MachineBooting = "booting"
+	MachineRunning = "running"
+	MachineFailed  = "failed"
+)
+
+// Row is a key of the state service.
+type Row struct {
+	Key     string             `msgpack:"path"`
+	Value   msgpack.RawMessage `msgpack:"v"`
+	Version uint64             `msgpack:"stamp"`
+	Lease   uint64             `msgpack:"permit"`
+}
+
+// Rows is one page of keys.
+type Rows struct {
+	Rows     []Row  `msgpack:"rows"`
+	More     bool   `msgpack:"hasNext"`
+	Revision uint64 `msgpack:"ledger"`
+}
+
+// Guard is a condition of a transaction.
+type Guard struct {
+	Key     string `msgpack:"path"`
+	Version uint64 `msgpack:"stamp"`
+}
+
+// Op is one change of a transaction: a put (Key) or a removal (Remove).
+type Op struct {
+	Key    string `msgpack:"put,omitempty"`
+	Value  any    `msgpack:"v,omitempty"`
+	Lease  uint64 `msgpack:"permit,omitempty"`
+	Remove string `msgpack:"remove,omitempty"`
+}
+
+// Txn is a transaction.
+type Txn struct {
+	Guards []Guard `msgpack:"guards"`
+	Then   []Op    `msgpack:"then,omitempty"`
+}
+
+// TxnReply answers a transaction.
+type TxnReply struct {
+	Revision uint64   `msgpack:"ledger"`
+	Failed   []string `msgpack:"failed"`
+}
+
+// LeaseRequest asks for a lease; LeaseReply names it.
+type LeaseRequest struct {
+	TTLMs int64 `msgpack:"ttlMs"`
+}
+
+// LeaseReply names a lease.
+type LeaseReply struct {
+	Lease uint64 `msgpack:"permit"`
+}
+
+// Event is one change that a watch tells.
+type Event struct {
+	Put     string             `msgpack:"put"`
+	Remove  string             `msgpack:"remove"`
+	Value   msgpack.RawMessage `msgpack:"v"`
+	Version uint64             `msgpack:"stamp"`
+	Lease   uint64             `msgpack:"permit"`
+}
+
+// Watched answers a watch.
+type Watched struct {
+	Revision uint64  `msgpack:"ledger"`
+	Events   []Event `msgpack:"news"`
+}
+
+// Encode writes a message.
+func Encode(v any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(v); err != nil {
+		return nil, fmt.Errorf("encode %T: %w", v, err)
+	}
+	return buf.Bytes(), nil
+}
+
+// Decode reads a message; a panic of the decoder on hostile bytes is an error.
+func Decode(b []byte, v any) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("decode %T: %v", v, p)
+		}
+	}()
+	if err := msgpack.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/workers/pool.go
@@ -0,0 +1,157 @@
+// Package workers follows the workers: their reports, whether what they run is
+// known for certain, until when they may hold tasks, and what to tell them.
+package workers
+
+import (
+	"sort"
+	"time"
+
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/wire"
+)
+
+// Machine is one worker's machine as its owner knows it.
+type Machine struct {
+	ID      string
+	Address string
+	Class   string
+	Zone    string
+	Spot    bool
+
+	// Adopted: a report of the current session showed our term as the highest
+	// token, so its task list is all there is, and no older owner's command can
+	// be executed any more.
+	Adopted  bool
+	Term     uint64
+	Session  uint64
+	Seq      uint64
+	Heard    time.Duration // last report that counted
+	Answered time.Duration // last report answered with 200: starts the lease anew
+	Lost     bool          // its lease is over: nothing is left on it
+	Deleting bool          // the cloud was asked to delete it
+	Draining bool          // gets no new tasks
+	Recall   time.Duration // when the cloud takes it away; 0: not announced
+
+	Tasks  []wire.TaskReport // as last reported
+	Images map[string]bool   // images fetched by tasks placed here
+
+	Strikes  int             // failed tasks since the last success
+	StruckBy map[string]bool // jobs that these belong to
+}
+
+// Pool is the slice's state.
+type Pool struct {
+	Lease    time.Duration
+	Report   time.Duration
+	Machines map[string]*Machine
+	now      time.Duration
+}
+
+// New makes an empty pool.
+func New(leaseS, reportS float64) *Pool {
+	return &Pool{
+		Lease:    time.Duration(leaseS * float64(time.Second)),
+		Report:   time.Duration(reportS * float64(time.Second)),
+		Machines: map[string]*Machine{},
+	}
+}
+
+// Sorted lists the machines by name, which is creation order: first-fit is
+// then the same on every run.
+func (p *Pool) Sorted() []*Machine {
+	ids := make([]string, 0, len(p.Machines))
+	for id := range p.Machines {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	out := make([]*Machine, len(ids))
+	for i, id := range ids {
+		out[i] = p.Machines[id]
+	}
+	return out
+}
+
+// Expect enters a machine that is known by other means than its report. What it
+// runs is unknown, and since is the latest time at which somebody may have
+// answered it.
+func (p *Pool) Expect(id, class, zone string, spot bool, since time.Duration) *Machine {
+	m := p.Machines[id]
+	if m == nil {
+		m = &Machine{ID: id, Class: class, Zone: zone, Spot: spot, Answered: since, Heard: since,
+			Images: map[string]bool{}, StruckBy: map[string]bool{}}
+		p.Machines[id] = m
+	}
+	return m
+}
+
+// Drop forgets a machine.
+func (p *Pool) Drop(id string) { delete(p.Machines, id) }
+
+// Verdict tells what a report is worth.
+type Verdict int
+
+// Verdicts.
+const (
+	Stale   Verdict = iota // older than one that was seen: not to be answered with 200
+	Deposed                // it has seen a higher token than ours
+	Strange                // ours to answer, but its list proves nothing yet
+	Current                // its list is the truth about the machine
+)
+
+// Hear judges a report for a class that we own with the given term. Only
+// Current reports change Tasks.
+func (p *Pool) Hear(now time.Duration, r *wire.Report, term uint64, since time.Duration) (*Machine, Verdict) {
+	m := p.Expect(r.Machine, r.Type, r.Zone, r.Spot, since)
+	if m.Term != term {
+		// A new term of ours: everything must be proved again.
+		m.Term, m.Adopted, m.Session, m.Seq = term, false, 0, 0
+	}
+	if r.Token > term {
+		return m, Deposed
+	}
+	// Messages may arrive late; (session, seq) orders them.
+	if r.Session < m.Session || (r.Session == m.Session && r.Seq <= m.Seq) {
+		return m, Stale
+	}
+	m.Address, m.Class, m.Zone, m.Spot = r.Address, r.Type, r.Zone, r.Spot
+	m.Session, m.Seq = r.Session, r.Seq
+	m.Heard, m.Answered = now, now
+	m.Lost = false
+	if r.RecallS != nil {
+		at := now + time.Duration(*r.RecallS*float64(time.Second))
+		if m.Recall == 0 || at < m.Recall {
+			m.Recall = at
+		}
+		m.Draining = true
+	} else {
+		m.Recall = 0
+	}
+	if r.Token != term {
+		m.Adopted = false
+		return m, Strange
+	}
+	m.Adopted = true
+	m.Tasks = r.Tasks
+	return m, Current
+}
+
+// Bound is when a machine that was last answered at t holds nothing any more.
+func (p *Pool) Bound(t time.Duration) time.Duration {
+	return t + time.Duration(float64(p.Lease)*(1+limits.ClockDrift)) + limits.LeaseMargin
+}
+
+// Expired tells whether the machine's lease is certainly over.
+func (p *Pool) Expired(m *Machine, now time.Duration) bool { return now > p.Bound(m.Answered) }
+
+// SilentFor is how long a machine may be silent before it is given up.
+func (p *Pool) SilentFor() time.Duration {
+	return max(limits.SilentFloor, limits.SilentReports*p.Report*5/4)
+}
+
+// Resolved tells whether it is known for certain what the machine holds.
+func (m *Machine) Resolved() bool { return m.Adopted || m.Lost }
+
+// Usable tells whether new tasks may be placed on the machine.
+func (m *Machine) Usable(now time.Duration, report time.Duration) bool {
+	return m.Adopted && !m.Lost && !m.Deleting && !m.Draining && now-m.Heard < 3*report
+}
