Machines and done sets share few keys of the state service

Cause: a fleet of 270 machines waited for minutes until each had a key of its own, at under 8 changes a second (use of CPUs: 2,700 of 4,300 idle); done bits of each job took twice the rest of the budget. Ruled out: the cloud (all rented within 4 s).

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -3,9 +3,11 @@
 package controller
 
 import (
-	"sort"
+	"strings"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"umberpaddle/internal/config"
 	"umberpaddle/internal/fleet"
 	"umberpaddle/internal/jobs"
@@ -115,13 +117,14 @@
 
 // rosterEntry is the durable record of a machine that may get tasks.
 type rosterEntry struct {
-	Class string  `msgpack:"c"`
-	Zone  string  `msgpack:"z"`
-	Spot  bool    `msgpack:"s,omitempty"`
-	At    float64 `msgpack:"at"` // time of day of the rental
+	_msgpack struct{} `msgpack:",as_array"`
+	Zone     string
+	Spot     bool
+	At       int64 // time of day of the rental, s
 	// Up: it has reported and may have got tasks. Without it the machine is on
 	// its way: a takeover need not wait for it.
-	Up bool `msgpack:"u,omitempty"`
+	Up    bool
+	Class string `msgpack:"-"`
 }
 
 // Core is the state machine. It has no clock, no I/O and no locks.
@@ -142,9 +145,9 @@
 	on      map[string]*host              // machine -> what is placed on it
 	booked  map[string]map[string]booking // team -> class -> what is placed
 	roster  map[string]rosterEntry
-	writing map[string]bool // roster keys being written
-	counter uint64          // attempts given out
-	regroup bool            // what decides on Active and Frozen may have changed
+	records *statestore.Pack // the roster's keys
+	counter uint64           // attempts given out
+	regroup bool             // what decides on Active and Frozen may have changed
 	// reported is room for sync's look at one report.
 	reported map[attempt]bool
 	// offer is what the last look at all machines left waiting, for the room that
@@ -165,6 +168,9 @@
 	nextUse     time.Duration
 	told        map[string][2]int
 	typesSaved  map[string]bool
+	savingTypes bool
+	recorded    map[string]bool // machines whose record as up was wished for
+	nextRoster  time.Duration
 	waiting     map[string]bool // classes taken over with machines still unresolved
 }
 
@@ -172,19 +178,19 @@
 func NewCore(set *config.Settings, ops *config.Operator, now Now, random uint64) *Core {
 	c := &Core{set: set, ops: ops, now: now, teams: map[string]*config.Team{},
 		active: map[string]uint64{}, reported: map[attempt]bool{}, on: map[string]*host{}, booked: map[string]map[string]booking{}, roster: map[string]rosterEntry{},
-		writing: map[string]bool{}, told: map[string][2]int{}, typesSaved: map[string]bool{}, waiting: map[string]bool{}}
+		told: map[string][2]int{}, typesSaved: map[string]bool{}, recorded: map[string]bool{}, waiting: map[string]bool{}}
 	for i := range set.Cluster.Teams {
 		c.teams[set.Cluster.Teams[i].Name] = &set.Cluster.Teams[i]
 	}
 	cl := &set.Cluster
-	c.store = statestore.New(cl.State.RPS, cl.State.WriteRPS, cl.State.TxnOps)
+	c.store = statestore.New(cl.State.RPS, cl.State.WriteRPS, cl.State.TxnOps, cl.State.ValueKB)
 	var others []string
 	for _, p := range set.Others {
 		others = append(others, p.Label)
 	}
 	c.own = ownership.New(set.Label, others, random, now.Steady, c.store, c.log)
-	c.book = jobs.New(c.store, c.log)
-	c.book.Guard = c.own.Guard
+	c.book = jobs.New(c.store, c.own.Guard, c.log)
+	c.records = statestore.NewPack(c.store, keyRoster, c.own.Guard, c.applyRoster)
 	c.pool = workers.New(cl.Workers.LeaseS, cl.Workers.ReportS)
 	c.fleet = fleet.New(cl.Cloud.RPS, cl.Cloud.ListLagS, hirePrefix(set.Label, random), c.log)
 	c.fleet.Gone = c.machineGone
@@ -280,8 +286,12 @@
 	for _, ch := range c.store.Mirror.Take() {
 		c.own.Apply(ch)
 		c.book.Apply(ch)
-		c.applyRoster(ch)
-		c.dirty, c.regroup, c.offer = true, true, nil
+		c.records.Apply(ch)
+		c.applyType(ch)
+		c.dirty = true
+		if !strings.HasPrefix(ch.Key, keyRoster) && !c.book.Progress(ch.Key) {
+			c.regroup = true
+		}
 	}
 }
 
@@ -331,6 +341,9 @@
 		if cl := claims[class]; cl == nil || cl.Term != term {
 			delete(c.active, class)
 			c.leaveClass(class)
+			c.records.Forget(class)
+			c.book.Forget(class)
+			clear(c.recorded)
 		}
 	}
 	for class, cl := range claims {
@@ -345,7 +358,7 @@
 				if e.Up {
 					c.pool.Expect(id, e.Class, e.Zone, e.Spot, cl.Since)
 				}
-				c.fleet.Know(id, fleet.Kind{Class: e.Class, Zone: e.Zone, Spot: e.Spot}, c.now.Steady-c.age(e.At))
+				c.fleet.Know(id, fleet.Kind{Class: e.Class, Zone: e.Zone, Spot: e.Spot}, c.now.Steady-c.age(float64(e.At)))
 			}
 		}
 	}
@@ -389,7 +402,7 @@
 	if !c.regroup {
 		return
 	}
-	c.regroup, c.resort = false, true
+	c.regroup = false
 	unresolved := map[string]bool{}
 	for id, m := range c.pool.Machines {
 		if c.roster[id].Up && !m.Resolved() {
@@ -403,19 +416,24 @@
 				all = false
 			}
 		}
+		was, wasFrozen := j.Active, j.Frozen
 		if all && !j.Active {
 			j.Frozen = j.Launched()
 			j.Prepared = false
 		}
 		j.Active = all
-		if !all || !j.Frozen {
-			continue
+		if all && j.Frozen {
+			j.Frozen = false
+			for _, class := range j.Types {
+				j.Frozen = j.Frozen || unresolved[class]
+			}
 		}
-		frozen := false
-		for _, class := range j.Types {
-			frozen = frozen || unresolved[class]
+		if j.Active != was || j.Frozen != wasFrozen {
+			c.resort = true
+			if j.Launched() {
+				c.offer = nil // what may run unseen has changed
+			}
 		}
-		j.Frozen = frozen
 	}
 	for class := range c.waiting {
 		if !unresolved[class] {
@@ -425,25 +443,28 @@
 	}
 }
 
-func (c *Core) applyRoster(ch statestore.Change) {
+// applyRoster follows the roster's records.
+func (c *Core) applyRoster(id, class string, value msgpack.RawMessage, gone bool) {
+	var e rosterEntry
 	switch {
-	case len(ch.Key) > len(keyRoster) && ch.Key[:len(keyRoster)] == keyRoster:
-		id := ch.Key[len(keyRoster):]
-		if ch.Removed {
-			delete(c.roster, id)
-			return
-		}
-		var e rosterEntry
-		if wire.Decode(ch.Entry.Value, &e) == nil {
-			c.roster[id] = e
-		}
-	case len(ch.Key) > len(keyType) && ch.Key[:len(keyType)] == keyType && !ch.Removed:
-		t := &wire.MachineType{}
-		if wire.Decode(ch.Entry.Value, t) == nil && t.Name != "" {
-			c.typesSaved[t.Name] = true
-			if c.fleet.Types[t.Name] == nil {
-				c.fleet.Types[t.Name] = t
-			}
+	case gone:
+		delete(c.roster, id)
+	case wire.Decode(value, &e) == nil:
+		e.Class = class
+		c.roster[id] = e
+	}
+}
+
+// applyType follows the recorded machine types.
+func (c *Core) applyType(ch statestore.Change) {
+	if !strings.HasPrefix(ch.Key, keyType) || ch.Removed {
+		return
+	}
+	t := &wire.MachineType{}
+	if wire.Decode(ch.Entry.Value, t) == nil && t.Name != "" {
+		c.typesSaved[t.Name] = true
+		if c.fleet.Types[t.Name] == nil {
+			c.fleet.Types[t.Name] = t
 		}
 	}
 }
@@ -451,83 +472,67 @@
 // writeRoster records machines before their first launch, drops those that are
 // gone, and keeps the machine types for starts while the cloud is down.
 func (c *Core) writeRoster() {
-	if len(c.writing) > 0 {
+	if c.now.Steady < c.nextRoster {
 		return
 	}
-	var t wire.Txn
-	guards := map[string]bool{}
-	add := func(class, key string, op wire.Op) bool {
-		if len(t.Then) >= c.store.MaxWrites() {
-			return false
-		}
-		if !guards[class] {
-			guards[class] = true
-			t.Guards = append(t.Guards, c.own.Guard(class))
-		}
-		e, _ := c.store.Mirror.Get(key)
-		t.Guards = append(t.Guards, wire.Guard{Key: key, Version: e.Version})
-		t.Then = append(t.Then, op)
-		c.writing[key] = true
-		return true
+	c.nextRoster = c.now.Steady + limits.LookEvery
+	entry := func(k fleet.Kind, since time.Duration, up bool) rosterEntry {
+		return rosterEntry{Zone: k.Zone, Spot: k.Spot, At: int64(c.now.Unix - (c.now.Steady - since).Seconds()), Up: up}
 	}
 	for _, m := range c.pool.Sorted() {
-		if !c.roster[m.ID].Up && !m.Deleting && m.Adopted {
-			key := keyRoster + m.ID
-			at := c.now.Unix
+		if !c.roster[m.ID].Up && !m.Deleting && m.Adopted && !c.recorded[m.ID] {
+			since := c.now.Steady
 			if r := c.fleet.Rentals[m.ID]; r != nil {
-				at -= (c.now.Steady - r.Since).Seconds()
+				since = r.Since
 			}
-			add(m.Class, key, wire.Op{Key: key, Value: rosterEntry{m.Class, m.Zone, m.Spot, at, true}})
+			c.recorded[m.ID] = true
+			c.records.Set(m.Class, m.ID, entry(fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, since, true), 0)
 		}
 	}
-	ids := make([]string, 0, len(c.fleet.Rentals))
-	for id := range c.fleet.Rentals {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	for _, id := range ids {
-		r := c.fleet.Rentals[id]
-		if _, listed := c.roster[id]; listed || r.Deleted || r.Up || r.Listed != "" {
+	for id, r := range c.fleet.Rentals {
+		if _, listed := c.roster[id]; listed || r.Deleted || r.Up || r.Listed != "" || c.recorded[id] {
 			continue
 		}
 		if _, ok := c.active[r.Kind.Class]; ok {
 			// Booting: a successor then knows what is on its way before the
 			// lists do, and rents nothing twice.
-			key := keyRoster + id
-			add(r.Kind.Class, key, wire.Op{Key: key, Value: rosterEntry{r.Kind.Class, r.Kind.Zone, r.Kind.Spot, c.now.Unix - (c.now.Steady - r.Since).Seconds(), false}})
+			c.records.Set(r.Kind.Class, id, entry(r.Kind, r.Since, false), limits.PackLater)
 		}
 	}
 	for id, e := range c.roster {
 		if _, ok := c.active[e.Class]; ok && c.fleet.IsGone(id) {
-			key := keyRoster + id
-			add(e.Class, key, wire.Op{Remove: key})
+			delete(c.recorded, id)
+			c.records.Remove(id, limits.PackLater)
 		}
 	}
+	c.records.Write()
+	c.writeTypes()
+}
+
+func (c *Core) writeTypes() {
+	if c.savingTypes {
+		return
+	}
+	var t wire.Txn
 	for name, mt := range c.fleet.Types {
-		if _, ok := c.active[name]; ok && !c.typesSaved[name] {
+		if _, ok := c.active[name]; ok && !c.typesSaved[name] && len(t.Then) < c.store.MaxWrites() {
 			key := keyType + name
-			if !add(name, key, wire.Op{Key: key, Value: mt}) {
-				break
-			}
+			e, _ := c.store.Mirror.Get(key)
+			t.Guards = append(t.Guards, c.own.Guard(name), wire.Guard{Key: key, Version: e.Version})
+			t.Then = append(t.Then, wire.Op{Key: key, Value: mt})
 		}
 	}
 	if len(t.Then) == 0 {
 		return
 	}
-	c.store.Txn(statestore.Roster, limits.StoreTimeout, t, func(r statestore.Reply) {
-		var tr wire.TxnReply
-		if r.Status == statestore.OK && wire.Decode(r.Body, &tr) == nil {
+	c.savingTypes = true
+	c.store.Txn(statestore.Progress, limits.StoreTimeout, t, func(r statestore.Reply) {
+		c.savingTypes = false
+		if r.Status == statestore.OK {
 			for _, op := range t.Then {
-				if e, ok := op.Value.(rosterEntry); ok {
-					c.roster[op.Key[len(keyRoster):]] = e
-				}
-				if mt, ok := op.Value.(*wire.MachineType); ok {
-					c.typesSaved[mt.Name] = true
-				}
+				c.typesSaved[op.Value.(*wire.MachineType).Name] = true
 			}
 		}
-		clear(c.writing)
-		c.dirty, c.regroup = true, true
 	})
 }
 
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -3,9 +3,11 @@
 // completion before it is told.
 //
 // Keys: u/o/ID is the job, never rewritten; it goes when the job is final and
-// none of its tasks is left. u/c/ID marks a cancelled job for the owners. u/p/ID/K holds
-// part K of the done set; part 0 is written before the job's first launch, so
-// a job without it has never run. fin/ID is the final state, kept for ever.
+// none of its tasks is left. u/c/ID marks a cancelled job for the owners. The
+// done sets of jobs with few tasks share the keys u/s/CLASS/N; u/p/ID/K holds
+// part K of a larger one. A job's record, or part 0, is written before its first
+// launch, so a job without it has never run. fin/ID is the final state, kept for
+// ever.
 package jobs
 
 import (
@@ -17,6 +19,8 @@
 	"strings"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"umberpaddle/internal/limits"
 	"umberpaddle/internal/statestore"
 	"umberpaddle/internal/wire"
@@ -26,6 +30,7 @@
 	keyOpen     = statestore.Root + "o/"
 	keyCancel   = statestore.Root + "c/"
 	keyProgress = statestore.Root + "p/"
+	keyDone     = statestore.Root + "s/"
 	keyFinal    = "fin/"
 )
 
@@ -69,6 +74,8 @@
 	durable   Bits
 	parts     map[int]uint64 // versions of the written parts of the done set
 	dirty     map[int]bool
+	launched  bool // its record is written
+	asked     bool // its record was wished for
 	writing   bool
 	closing   bool
 	Placed    map[int]Place
@@ -179,18 +186,56 @@
 	nextLook  time.Duration
 	orphans   map[string]bool // keys of done sets without a job
 	sweeping  bool
+	done      *statestore.Pack
+	stray     map[string]bool // records without a job
 
-	// Guard gives the condition under which this node's writes as owner hold.
-	Guard func(class string) wire.Guard
+	// guard gives the condition under which this node's writes as owner hold.
+	guard func(class string) wire.Guard
 }
 
 // New makes an empty book.
-func New(store *statestore.Store, log func(string, string, ...any)) *Book {
-	return &Book{store: store, log: log, Open: map[string]*Job{}, finals: map[string]final{}, byRef: map[string]*submit{}, flushAt: map[string]time.Duration{}, orphans: map[string]bool{}}
+func New(store *statestore.Store, guard func(class string) wire.Guard, log func(string, string, ...any)) *Book {
+	b := &Book{store: store, guard: guard, log: log, Open: map[string]*Job{}, finals: map[string]final{}, byRef: map[string]*submit{},
+		flushAt: map[string]time.Duration{}, orphans: map[string]bool{}, stray: map[string]bool{}}
+	b.done = statestore.NewPack(store, keyDone, guard, b.applyDone)
+	return b
+}
+
+// applyDone follows the record of a job with few tasks.
+func (b *Book) applyDone(id, _ string, value msgpack.RawMessage, gone bool) {
+	delete(b.stray, id)
+	j := b.Open[id]
+	var text string
+	if gone || wire.Decode(value, &text) != nil {
+		return
+	}
+	if j == nil {
+		b.stray[id] = true
+		return
+	}
+	j.launched = true
+	j.durable.merge(0, text, j.Tasks)
+	j.DoneCount += len(j.Done.merge(0, text, j.Tasks))
+}
+
+// Progress tells whether a key holds done sets.
+func (b *Book) Progress(key string) bool {
+	return strings.HasPrefix(key, keyDone) || strings.HasPrefix(key, keyProgress)
+}
+
+// Forget drops what was to be written as owner of a class.
+func (b *Book) Forget(class string) {
+	b.done.Forget(class)
+	for _, j := range b.Open {
+		if j.Class0 == class {
+			j.asked = false
+		}
+	}
 }
 
 // Apply follows a change of the mirror.
 func (b *Book) Apply(c statestore.Change) {
+	b.done.Apply(c)
 	switch {
 	case strings.HasPrefix(c.Key, keyOpen):
 		id := c.Key[len(keyOpen):]
@@ -201,8 +246,7 @@
 					b.orphan(id, k)
 				}
 			}
-			delete(b.Open, id)
-			delete(b.flushAt, id)
+			b.drop(id)
 			return
 		}
 		spec := &wire.Job{}
@@ -224,6 +268,9 @@
 		}
 		j.Shape = strings.Join(spec.Types, " ") + "|" + spec.Zone + "|" + strconv.FormatBool(spec.Spot)
 		b.Open[id] = j
+		if v, ok := b.done.Stored(id); ok {
+			b.applyDone(id, "", v, false)
+		}
 		// Keys sort so that c/ comes before o/: a mark read earlier counts now.
 		if _, ok := b.store.Mirror.Get(keyCancel + id); ok {
 			j.Cancelled = true
@@ -270,6 +317,9 @@
 // sweep removes parts of done sets whose job is over: they did not fit into the
 // transaction that ended it.
 func (b *Book) sweep() {
+	for id := range b.stray {
+		b.done.Remove(id, limits.PackLater)
+	}
 	if len(b.orphans) == 0 || b.sweeping {
 		return
 	}
@@ -293,16 +343,23 @@
 }
 
 // Launched tells whether any owner may have launched tasks of the job.
-func (j *Job) Launched() bool { return len(j.parts) > 0 }
+func (j *Job) Launched() bool { return j.launched || len(j.parts) > 0 }
+
+// few tells whether the job's done set goes with those of others.
+func (j *Job) few() bool { return j.Tasks <= limits.PackTasks }
 
 // Prepare writes the mark that a job's tasks may be running, before the first
 // launch. It is done once Prepared is set.
 func (b *Book) Prepare(j *Job) {
-	if _, ok := j.parts[0]; ok {
+	switch {
+	case j.Launched():
 		j.Prepared = true
-		return
-	}
-	if !j.writing {
+	case j.few():
+		if !j.asked {
+			j.asked = true
+			b.done.Set(j.Class0, j.ID, j.Done.chunk(0), 0)
+		}
+	case !j.writing:
 		b.writePart(j, 0, statestore.Roster)
 	}
 }
@@ -313,7 +370,7 @@
 	text := j.Done.chunk(k)
 	delete(j.dirty, k)
 	t := wire.Txn{
-		Guards: []wire.Guard{b.Guard(j.Class0), {Key: keyOpen + j.ID, Version: j.version}, {Key: key, Version: j.parts[k]}},
+		Guards: []wire.Guard{b.guard(j.Class0), {Key: keyOpen + j.ID, Version: j.version}, {Key: key, Version: j.parts[k]}},
 		Then:   []wire.Op{{Key: key, Value: progress{Done: text}}}}
 	b.store.Txn(prio, limits.StoreTimeout*2, t, func(r statestore.Reply) {
 		j.writing = false
@@ -351,6 +408,7 @@
 		b.sweep()
 		b.nextFlush = b.now + limits.BatchEvery
 	}
+	defer b.done.Write()
 	for _, id := range b.ids() {
 		j := b.Open[id]
 		if !j.Active || j.closing || b.now < b.flushAt[id] {
@@ -365,6 +423,9 @@
 			if !j.writing {
 				b.close(j, wire.StatusDone)
 			}
+		case flush && j.few() && len(j.dirty) > 0:
+			clear(j.dirty)
+			b.done.Set(j.Class0, j.ID, j.Done.chunk(0), limits.LookEvery)
 		case flush && !j.writing && len(j.dirty) > 0:
 			for k := 0; k*limits.ChunkTasks < j.Tasks; k++ {
 				if j.dirty[k] {
@@ -390,7 +451,7 @@
 func (b *Book) close(j *Job, status string) {
 	j.closing = true
 	id := j.ID
-	t := wire.Txn{Guards: []wire.Guard{b.Guard(j.Class0), {Key: keyOpen + id, Version: j.version}}}
+	t := wire.Txn{Guards: []wire.Guard{b.guard(j.Class0), {Key: keyOpen + id, Version: j.version}}}
 	prio := statestore.Progress
 	if status != "" {
 		prio = statestore.Finish
@@ -418,12 +479,20 @@
 				b.log("info", "job over", "job", id, "class", j.Class, "status", status, "tasks", j.Tasks,
 					"tookS", math.Round(10*(b.unix-j.SubmitUnix))/10, "dueS", j.DeadlineS, "estimateS", j.EstimateS)
 			}
-			delete(b.Open, id)
-			delete(b.flushAt, id)
+			b.drop(id)
 		}
 	})
 }
 
+// drop forgets a job that is over; its record goes with the next batch.
+func (b *Book) drop(id string) {
+	if j := b.Open[id]; j != nil && j.launched {
+		b.stray[id] = true
+	}
+	delete(b.Open, id)
+	delete(b.flushAt, id)
+}
+
 func (b *Book) remember(id string, f final) {
 	if _, ok := b.finals[id]; !ok {
 		b.finalOrder = append(b.finalOrder, id)
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -48,9 +48,9 @@
 }
 
 func newBench(t *testing.T) *bench {
-	s := statestore.New(1000, 1000, 8)
-	b := &bench{t: t, store: s, book: New(s, func(string, string, ...any) {}), now: time.Second}
-	b.book.Guard = func(string) wire.Guard { return wire.Guard{Key: "u/own/c", Version: 1} }
+	s := statestore.New(1000, 1000, 8, 4)
+	guard := func(string) wire.Guard { return wire.Guard{Key: "u/own/c", Version: 1} }
+	b := &bench{t: t, store: s, book: New(s, guard, func(string, string, ...any) {}), now: time.Second}
 	b.tick() // reads the mirror
 	return b
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -79,6 +79,22 @@
 	// BudgetUse is the part of the request budget that the nodes use together,
 	// so that views of who owns what may lag without 429s.
 	BudgetUse = 0.9
+	// BurstUse is the part of one second's budget that a node may save up.
+	BurstUse = 0.45
+	// RosterReserve and ProgressReserve are the parts of the saved-up changes that
+	// machines and done bits leave to what users wait for.
+	RosterReserve   = 0.2
+	ProgressReserve = 0.5
+	// PackFill is how full a key with many records gets, as a part of the largest
+	// value; PackMost, bytes, bounds what one record's change sends again, and
+	// PackTxn the records of one transaction, which may have 64 KiB.
+	PackFill = 0.75
+	PackMost = 6 << 10
+	PackTxn  = 48 << 10
+	// PackLater is how long a record may wait that nobody waits for.
+	PackLater = time.Second
+	// PackTasks is up to how many tasks a job's done bits go with other jobs'.
+	PackTasks = 1024
 	// ChunkTasks is the number of tasks whose done bits share one key: 2 KiB of
 	// bits, 2.7 KiB as text, which fits a 4 KiB value.
 	ChunkTasks = 16384
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -25,6 +25,10 @@
 	priorities
 )
 
+// reserve is the part of the saved-up changes that a priority leaves to those
+// before it: otherwise a submission waits for what a batch has just used up.
+var reserve = [priorities]float64{Roster: limits.RosterReserve, Progress: limits.ProgressReserve}
+
 // Status of an answer, beyond the HTTP codes: NoAnswer means the request may
 // have been executed, or may be executed later.
 const (
@@ -70,13 +74,13 @@
 
 // bucket is a token bucket on injected time.
 type bucket struct {
-	rate, level float64
-	last        time.Duration
+	rate, level, most float64
+	last              time.Duration
 }
 
 func (b *bucket) fill(now time.Duration) {
 	if now > b.last {
-		b.level = min(b.rate, b.level+b.rate*(now-b.last).Seconds())
+		b.level = min(b.most, b.level+b.rate*(now-b.last).Seconds())
 		b.last = now
 	}
 }
@@ -98,13 +102,15 @@
 	Mirror    *Mirror
 	TxnOps    int
 	TxnGuards int
+	// ValueBytes is the most bytes of a value.
+	ValueBytes float64
 }
 
 // New makes a client with the whole deployment's budget; Share sets its part.
-func New(rps, writeRPS float64, txnOps int) *Store {
-	s := &Store{rps: rps, wps: writeRPS, flights: map[uint64]*flight{}, TxnOps: txnOps, TxnGuards: 4 * txnOps}
+func New(rps, writeRPS float64, txnOps int, valueKB float64) *Store {
+	s := &Store{rps: rps, wps: writeRPS, flights: map[uint64]*flight{}, TxnOps: txnOps, TxnGuards: 4 * txnOps, ValueBytes: valueKB * 1024}
 	s.Share(1.0 / 3)
-	s.reqs.level, s.writes.level = s.reqs.rate, s.writes.rate
+	s.reqs.level, s.writes.level = s.reqs.most, s.writes.most
 	s.Mirror = newMirror(s)
 	return s
 }
@@ -113,10 +119,14 @@
 func (s *Store) Share(part float64) {
 	s.reqs.rate = max(3, s.rps*part*limits.BudgetUse)
 	s.writes.rate = max(1, s.wps*part*limits.BudgetUse)
+	// Bursts seldom come to all nodes at once, and the service allows a second's
+	// worth: a node may save up more than its part of that.
+	s.reqs.most = max(s.reqs.rate, s.rps*limits.BurstUse)
+	s.writes.most = max(s.writes.rate, s.wps*limits.BurstUse)
 }
 
 // MaxWrites is the most changes that one transaction of this node may hold.
-func (s *Store) MaxWrites() int { return max(1, min(s.TxnOps, int(s.writes.rate))) }
+func (s *Store) MaxWrites() int { return max(1, min(s.TxnOps, int(s.writes.most))) }
 
 // Txn queues a transaction. wait bounds the time in the queue (0: no bound);
 // done gets a 503 when it runs out.
@@ -200,7 +210,7 @@
 		urgent := p == Lease
 		// A transaction larger than the burst could wait for ever: a full
 		// bucket lets it go and takes on the debt.
-		need := min(float64(r.writes), s.writes.rate)
+		need := min(float64(r.writes)+s.writes.most*reserve[p], s.writes.most)
 		if !urgent && (s.now < s.pause || len(s.flights) >= limits.StoreInFlight || s.reqs.level < 1 || (r.writes > 0 && s.writes.level < need)) {
 			kept = append(kept, q[i:]...)
 			break
--- a/internal/statestore/store_test.go
+++ b/internal/statestore/store_test.go
@@ -21,7 +21,7 @@
 // loaded makes a store whose mirror has been read.
 func loaded(t *testing.T) (*Store, uint64) {
 	t.Helper()
-	s := New(150, 20, 8)
+	s := New(150, 20, 8, 4)
 	calls := s.Tick(time.Second)
 	if len(calls) != 1 || !strings.HasPrefix(calls[0].Path, "/kv?") {
 		t.Fatalf("first calls %+v", calls)
