--- a/internal/allocation/allocation.go
+++ b/internal/allocation/allocation.go
@@ -10,6 +10,10 @@
 
 const eps = 1e-6
 
+// apart is how many times larger another unit of a class is when a unit had
+// better keep to other classes.
+const apart = 3
+
 // Fits tells whether a is available in b.
 func (a Res) Fits(b Res) bool {
 	return a.CPUs <= b.CPUs+eps && a.GPUs <= b.GPUs+eps && a.Memory <= b.Memory+eps
@@ -249,16 +253,21 @@
 }
 
 // rankOf ranks a machine by what counts most: that a unit that should be safe is
-// on an ordinary machine; that the largest unit of the class loses no room, for
-// small units spread over large machines lock it out; that the image is there,
+// on an ordinary machine; that the class is not one that much larger units need;
+// that the largest unit of the class loses no room, for small units spread over
+// large machines lock it out; that the image is there,
 // since a fetch takes room for as long as a short task runs; that the machine is
 // busy.
 func (u *Unit) rankOf(m *Machine, largest map[string]Res) int {
 	r := 0
+	big := largest[m.Class]
 	if u.Safe && !m.Spot {
+		r += 16
+	}
+	if big.CPUs < apart*u.Need.CPUs {
 		r += 8
 	}
-	if big := largest[m.Class]; big == u.Need || big.Times(m.Free) == big.Times(m.Free.Add(u.Need, -1)) {
+	if big == u.Need || big.Times(m.Free) == big.Times(m.Free.Add(u.Need, -1)) {
 		r += 4
 	}
 	if u.Image == "" || m.has(u.Image) {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -368,12 +368,16 @@
 					break
 				}
 				if !c.fitFresh(u, extra[u.Job], w) {
+					if w.rented < extra[u.Job].tight {
+						w.refused = append(w.refused, u)
+					}
 					break
 				}
 				total = total.Add(u.Need, 1)
 			}
 		}
 	}
+	c.relieve(w, teams, machines)
 	kinds = kinds[:0]
 	for k := range w.want {
 		kinds = append(kinds, k)
@@ -478,6 +482,56 @@
 	want   map[fleet.Kind]int
 	rented float64 // CPUs of fresh
 	from   int     // fresh machines before this one have no room for the unit at hand
+	// refused lists units that lack machines of which the cloud has no more.
+	refused []*allocation.Unit
+}
+
+// relieve rents machines for work that could leave the classes that the cloud
+// has no more of to units that fit nowhere else: small tasks may use classes
+// that large ones can't, but found room in a class that both use.
+func (c *Core) relieve(w *wish, teams []*allocation.Team, machines []*allocation.Machine) {
+	scarce, lacked := map[string]bool{}, 0.0
+	for _, u := range w.refused {
+		for class := range u.Classes {
+			scarce[class] = true
+		}
+		lacked += float64(u.Count) * u.Need.CPUs
+	}
+	if lacked == 0 {
+		return
+	}
+	for _, class := range c.fleet.Classes() {
+		mt := c.fleet.Types[class]
+		if _, ok := c.active[class]; !ok || scarce[class] {
+			continue
+		}
+		// What could move: tasks of jobs that may use this class as well.
+		could := 0.0
+		for _, j := range c.book.Open {
+			if !j.Active || !j.TypeSet[class] || j.Cancelled || !j.Spot {
+				continue
+			}
+			for _, p := range j.Placed {
+				if m := c.pool.Machines[p.Machine]; m != nil && scarce[m.Class] {
+					could += j.CPUs
+				}
+			}
+		}
+		for _, m := range machines {
+			if m.Class == class {
+				could -= m.Free.CPUs
+			}
+		}
+		for _, z := range mt.Zones {
+			k := fleet.Kind{Class: class, Zone: z, Spot: true}
+			for len(w.fresh) < limits.FreshMost && min(could, lacked) >= mt.CPUs && c.ops.Spot() && c.fleet.Hirable(k) {
+				w.fresh = append(w.fresh, &allocation.Machine{Class: class, Zone: z, Spot: true})
+				w.want[k]++
+				could -= mt.CPUs
+				lacked -= mt.CPUs
+			}
+		}
+	}
 }
 
 // fitFresh puts a unit on a machine still to be rented, adding the cheapest
