--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -309,7 +309,9 @@
 	if t-heard >= 2*c.pool.Report {
 		return false
 	}
-	if m.Term == 0 && t-m.Heard > c.pool.Report*5/4+limits.TakeoverSlack {
+	// Answered once and silent since counts as well: guards against a takeover
+	// that waited three reports for machines that were lost in its midst.
+	if c.roster[m.ID].Up && !m.Resolved() && t-m.Heard > c.pool.Report*5/4+limits.TakeoverSlack {
 		all, found := 0, 0
 		for id, x := range c.pool.Machines {
 			if c.roster[id].Up {
