Every job begins within four minutes; the users' troubles as tests

A job that has not begun for two minutes goes first with two tasks, and a machine is kept free for it if it fits nowhere. Tests with three and five controllers: deaf machines, late copies of reports, an owner with only its workers, controllers back at once, a crowd, questions answered once troubles are over; each check is seen to fail with its guard taken out. A counter of unheard answers was tried and removed: silence and the lease already end a deaf machine.

--- a/internal/allocation/allocation.go
+++ b/internal/allocation/allocation.go
@@ -30,10 +30,12 @@
 	Class  string
 	Zone   string
 	Spot   bool
+	Size   Res // all that it has
 	Free   Res
 	Images map[string]bool // images that it has or fetches; not changed by Run
 	Busy   bool            // it has tasks; an idle one may soon be returned
 	coming map[string]bool // images that this run's placements make it fetch
+	held   string          // the only job whose tasks it takes
 }
 
 // Unit is a job's waiting tasks, which are all alike.
@@ -52,13 +54,14 @@
 	ByZone  map[string]int // its placed tasks by zone, for OneZone and Spread; changed by Run
 	Avoid   map[string]bool
 	Safe    bool // better not on a spot machine
+	Overdue bool // has waited too long to begin: Hold keeps room for it
 
 	at   *Machine // where Run put the last task of it
 	rank int
 }
 
 func (u *Unit) allows(m *Machine) bool {
-	if !u.Classes[m.Class] || (m.Spot && !u.Spot) || (u.Zone != "" && u.Zone != m.Zone) || u.Avoid[m.ID] {
+	if (m.held != "" && m.held != u.Job) || !u.Classes[m.Class] || (m.Spot && !u.Spot) || (u.Zone != "" && u.Zone != m.Zone) || u.Avoid[m.ID] {
 		return false
 	}
 	if u.OneZone {
@@ -205,9 +208,50 @@
 	}
 }
 
+// Hold keeps a machine for every overdue unit that fits on none, the one that
+// lacks least for it: its room is freed in small pieces, and small units would
+// take each as it comes. At most that many are held; it tells which.
+func Hold(teams []*Team, machines []*Machine, most int) map[string]bool {
+	held := map[string]bool{}
+	for _, t := range teams {
+		total := t.total()
+		for _, u := range t.Units {
+			if !u.Overdue || len(held) >= most || !t.underLimit(total, u.Need) {
+				continue
+			}
+			var best *Machine
+			part, fits := 0.0, false
+			for _, m := range machines {
+				if held[m.ID] || !u.Need.Fits(m.Size) || !u.allows(m) {
+					continue
+				}
+				fits = fits || u.Need.Fits(m.Free)
+				if p := u.Need.part(m.Free); best == nil || p > part {
+					best, part = m, p
+				}
+			}
+			if best != nil && !fits {
+				best.held, held[best.ID] = u.Job, true
+			}
+		}
+	}
+	return held
+}
+
+// part tells which part of a is available in b, at the resource that lacks most.
+func (a Res) part(b Res) float64 {
+	p := math.Inf(1)
+	for _, x := range [][2]float64{{a.CPUs, b.CPUs}, {a.GPUs, b.GPUs}, {a.Memory, b.Memory}} {
+		if x[0] > 0 {
+			p = math.Min(p, x[1]/x[0])
+		}
+	}
+	return p
+}
+
 // plain tells whether nothing but Shape and Need decides where a unit may go.
 func (u *Unit) plain() bool {
-	return u.Shape != "" && !u.OneZone && !u.Spread && len(u.Avoid) == 0
+	return u.Shape != "" && !u.Overdue && !u.OneZone && !u.Spread && len(u.Avoid) == 0
 }
 
 func (u *Unit) hopeless(failed map[string][]Res) bool {
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -103,8 +103,11 @@
 			at = c.now.Steady
 		}
 		c.put(j, task, jobs.Place{Machine: m.ID, Attempt: t.Attempt, State: taskState(t.State), At: at})
-		if j.Image != "" && t.State == wire.TaskRunning {
-			m.Images[j.Image] = true
+		if t.State == wire.TaskRunning {
+			j.Begun = true
+			if j.Image != "" {
+				m.Images[j.Image] = true
+			}
 		}
 		switch {
 		case j.Cancelled:
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -71,7 +71,14 @@
 	return float64(j.Tasks-j.DoneCount) * max(j.EstimateS, 1) * max(j.CPUs, 1)
 }
 
-// sortedJobs lists the active jobs: by urgency; then those that can still meet
+// overdue tells whether a job has waited so long for its first task that it goes
+// before all others of its team. Guards against starvation: the orders below
+// leave a large job for last as long as others come.
+func (c *Core) overdue(j *jobs.Job) bool {
+	return !j.Begun && !j.Cancelled && !j.Faulty() && c.age(j.SubmitUnix) > limits.BeginWithin
+}
+
+// sortedJobs lists the active jobs: what is overdue to begin; then by urgency; then those that can still meet
 // a target, least slack first; then the others, least work left first, so that
 // of what is late anyway the most jobs are over soon. When there is far more
 // work than room, least slack first would only make one job after the other
@@ -83,6 +90,7 @@
 	c.resort, c.sortedAt = false, c.now.Steady
 	type ranked struct {
 		*jobs.Job
+		overdue bool
 		hopeful bool
 		key     float64
 	}
@@ -91,7 +99,7 @@
 	for _, j := range c.book.Open {
 		if j.Active {
 			left, hopeful := c.left(j)
-			list = append(list, ranked{j, hopeful, left - j.EstimateS})
+			list = append(list, ranked{j, c.overdue(j), hopeful, left - j.EstimateS})
 			if hopeful {
 				demand += work(j)
 			}
@@ -111,6 +119,12 @@
 	}
 	sort.Slice(list, func(a, b int) bool {
 		x, y := list[a], list[b]
+		if x.overdue != y.overdue {
+			return x.overdue
+		}
+		if x.overdue && x.SubmitUnix != y.SubmitUnix {
+			return x.SubmitUnix < y.SubmitUnix
+		}
 		if x.Urgency != y.Urgency {
 			return x.Urgency > y.Urgency
 		}
@@ -169,7 +183,7 @@
 // room brings the allocation's picture of a machine up to date.
 func (c *Core) room(m *workers.Machine, mt *wire.MachineType) *allocation.Machine {
 	h := c.hostOf(m.ID)
-	h.room = allocation.Machine{ID: m.ID, Class: m.Class, Zone: m.Zone, Spot: m.Spot, Free: size(mt).Add(h.used, -1), Images: m.Images, Busy: len(h.tasks) > 0}
+	h.room = allocation.Machine{ID: m.ID, Class: m.Class, Zone: m.Zone, Spot: m.Spot, Size: size(mt), Free: size(mt).Add(h.used, -1), Images: m.Images, Busy: len(h.tasks) > 0}
 	return &h.room
 }
 
@@ -226,9 +240,15 @@
 				}
 			}
 		}
-		if j.Faulty() {
+		switch {
+		case j.Faulty():
 			u.Count = min(n, limits.BadJobSlots-len(j.Placed))
-		} else {
+		case c.overdue(j):
+			// Once it has begun it waits for its turn like the others.
+			u.Overdue = true
+			u.Avoid = j.FailedOn
+			u.Count = min(n, limits.BeginTasks-len(j.Placed))
+		default:
 			u.Avoid = j.FailedOn
 		}
 		if u.Count > 0 {
@@ -256,6 +276,7 @@
 type offer struct {
 	teams             []*allocation.Team
 	capacity, largest map[string]allocation.Res
+	held              map[string]bool // machines kept free for an overdue unit
 }
 
 // allocate plans tasks onto machines. The plans go out with the next answer to
@@ -276,6 +297,7 @@
 	machines, capacity, unseen := c.rooms(false)
 	o := &offer{teams: c.claims(false, unseen), capacity: capacity, largest: c.largest()}
 	c.offer = o
+	o.held = allocation.Hold(o.teams, machines, 1+int(limits.HoldPart*float64(len(machines))))
 	c.run(o, machines)
 	c.sendOrders()
 }
@@ -284,7 +306,7 @@
 // machines left waiting.
 func (c *Core) allocateOn(m *workers.Machine) {
 	mt := c.fleet.Types[m.Class]
-	if c.offer == nil || mt == nil || !c.roster[m.ID].Up || !m.Usable(c.now.Steady, c.pool.Report) {
+	if c.offer == nil || c.offer.held[m.ID] || mt == nil || !c.roster[m.ID].Up || !m.Usable(c.now.Steady, c.pool.Report) {
 		return
 	}
 	waiting := false
--- /dev/null
+++ b/internal/controller/troubles_test.go
@@ -0,0 +1,241 @@
+package controller
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"umberpaddle/internal/config"
+	"umberpaddle/internal/fleet"
+	"umberpaddle/internal/wire"
+)
+
+// withNodes runs a test with three and with five controllers, over some seeds.
+func withNodes(t *testing.T, seeds uint64, f func(t *testing.T, cfg worldConfig, seed uint64)) {
+	for _, nodes := range []int{3, 5} {
+		for seed := uint64(1); seed <= seeds; seed++ {
+			t.Run(fmt.Sprintf("%d/%d", nodes, seed), func(t *testing.T) {
+				t.Parallel()
+				cfg := standardWorld()
+				cfg.nodes = nodes
+				f(t, cfg, seed)
+			})
+		}
+	}
+}
+
+// steadyJobs submits jobs of tasks of a minute and a half.
+func steadyJobs(w *world, n int) {
+	for i := 0; i < n; i++ {
+		w.user(fmt.Sprintf("job-%06d", i), map[string]any{"docket": "x", "crew": "blue", "form": "batch", "urgency": "standard",
+			"sheets": 8, "cores": 4.0, "accelerators": 0.0, "ramGb": 4.0, "loaners": true, "reckonS": 90.0}, 90)
+	}
+}
+
+func (w *world) owner() *simNode {
+	for _, n := range w.nodes {
+		if n.core != nil && len(n.core.active) > 0 && n.core.own.MayLaunch() {
+			return n
+		}
+	}
+	return nil
+}
+
+// TestDeafMachineHoldsNothingUp: a machine goes on reporting but gets no answers
+// and no orders, for good. The owner ends as well, and the cloud is out of reach:
+// the new owner must not wait for that machine for ever, and its work is done. A
+// core that takes its own answers for received must be caught.
+func TestDeafMachineHoldsNothingUp(t *testing.T) {
+	play := func(cfg worldConfig, seed uint64, sabotage func(*Core)) (w *world, waiting int) {
+		w = newWorld(seed, cfg)
+		w.sabotage = sabotage
+		steadyJobs(w, 6)
+		w.run(40 * time.Second)
+		var deaf *simMachine
+		for _, id := range sortedKeys(w.machines) {
+			if m := w.machines[id]; deaf == nil && m.up && len(m.tasks) > 0 {
+				deaf = m
+			}
+		}
+		w.deafen(deaf.id, true)
+		w.cloud.outage = true
+		w.owner().crash(2 * time.Second)
+		w.run(100 * time.Second)
+		for _, n := range w.nodes {
+			waiting += len(n.core.waiting)
+		}
+		w.cloud.outage = false
+		w.run(130 * time.Second)
+		if sabotage == nil && !deaf.gone {
+			t.Error("the deaf machine is kept")
+		}
+		return w, waiting
+	}
+	withNodes(t, 3, func(t *testing.T, cfg worldConfig, seed uint64) {
+		w, waiting := play(cfg, seed, nil)
+		if waiting > 0 {
+			t.Errorf("the new owner still waits for machines of %d classes", waiting)
+		}
+		w.run(420 * time.Second)
+		w.mustKeepRules(t)
+		w.mustFinish(t)
+	})
+	if _, waiting := play(standardWorld(), 1, func(c *Core) {
+		for _, m := range c.pool.Machines {
+			m.Answered, m.Heard = c.now.Steady, c.now.Steady
+		}
+	}); waiting == 0 {
+		t.Error("a core for which every machine has heard its answers was not caught")
+	}
+}
+
+// TestIsolatedOwnerIsReplaced: the owner loses the state service and its peers,
+// but not its workers. It must step down, and no worker may lose its tasks.
+func TestIsolatedOwnerIsReplaced(t *testing.T) {
+	withNodes(t, 3, func(t *testing.T, cfg worldConfig, seed uint64) {
+		w := newWorld(seed, cfg)
+		steadyJobs(w, 8)
+		w.run(50 * time.Second)
+		old := w.owner()
+		w.isolate(old, true)
+		w.run(58 * time.Second)
+		if old.core.own.MayAnswer() {
+			t.Error("the isolated owner still answers workers")
+		}
+		if n := w.owner(); n == nil || n == old {
+			t.Error("nobody took over")
+		}
+		w.run(80 * time.Second)
+		w.isolate(old, false)
+		w.run(300 * time.Second)
+		w.mustKeepRules(t)
+		w.mustFinish(t)
+		if n := w.sessions(); n > 0 {
+			t.Errorf("%d machines lost their tasks", n)
+		}
+	})
+}
+
+// TestBackAtOnce: controllers end and are back within half a second, over and over
+// and in the elections that follow.
+func TestBackAtOnce(t *testing.T) {
+	withNodes(t, 3, func(t *testing.T, cfg worldConfig, seed uint64) {
+		w := newWorld(seed, cfg)
+		w.copies, w.repeats = 0.05, 0.05
+		randomJobs(w, 40, 60*time.Second)
+		for at := 20 * time.Second; at < 80*time.Second; at += w.between(0.3, 4) {
+			w.after(at, func() {
+				n := w.nodes[w.rng.IntN(len(w.nodes))]
+				if o := w.owner(); o != nil && w.chance(0.5) {
+					n = o
+				}
+				n.crash(w.between(0.02, 0.5))
+			})
+		}
+		w.run(90 * time.Second)
+		w.calm = w.now
+		if w.run(100 * time.Second); w.owner() == nil {
+			t.Error("nobody owns the classes")
+		}
+		w.run(350 * time.Second)
+		w.mustKeepRules(t)
+		w.mustFinish(t)
+	})
+}
+
+// TestLateCopiesProveNothing: copies of reports come up to two and a half leases
+// late while machines and controllers fail. A core that forgets how far it has
+// read a worker's reports must be caught.
+func TestLateCopiesProveNothing(t *testing.T) {
+	play := func(cfg worldConfig, seed uint64, sabotage func(*Core)) *world {
+		w := newWorld(seed, cfg)
+		w.copies, w.sabotage = 0.3, sabotage
+		randomJobs(w, 50, 100*time.Second)
+		randomFaults(w, 10, 100*time.Second)
+		w.run(150 * time.Second)
+		w.copies = 0
+		return w
+	}
+	withNodes(t, 4, func(t *testing.T, cfg worldConfig, seed uint64) {
+		w := play(cfg, seed, nil)
+		w.run(400 * time.Second)
+		w.mustKeepRules(t)
+		w.mustFinish(t)
+	})
+	for seed := uint64(1); seed <= 20; seed++ {
+		w := play(standardWorld(), seed, func(c *Core) {
+			for _, m := range c.pool.Machines {
+				m.Session, m.Seq = 0, 0
+			}
+		})
+		if len(w.broken) > 0 {
+			return
+		}
+	}
+	t.Error("a core that takes old reports for new ones broke no rule")
+}
+
+// TestUnansweredJobIsNoticed shows that the world's check of the users' addition
+// can fail: nobody answers once all troubles are said to be over.
+func TestUnansweredJobIsNoticed(t *testing.T) {
+	w := newWorld(1, standardWorld())
+	steadyJobs(w, 2)
+	w.run(30 * time.Second)
+	w.calm = w.now
+	for _, n := range w.nodes {
+		n.crash(time.Hour)
+	}
+	w.run(130 * time.Second)
+	if len(w.broken) == 0 || !strings.HasPrefix(w.broken[0], "forgotten") {
+		t.Errorf("not noticed: %v", w.broken)
+	}
+}
+
+// crowd is a day with far more work than room. Small urgent jobs keep coming; one
+// job of large tasks, each as large as a machine, is submitted with the first.
+func crowd(cfg worldConfig, seed uint64, sabotage func(*Core)) (w *world, began time.Duration) {
+	cfg.teams = []config.Team{{Name: "blue"}}
+	cfg.types = []wire.MachineType{{Name: "small", CPUs: 8, MemoryGB: 32, Price: 0.5, SpotPrice: 0.2, BootS: 5, Zones: []string{"a"}}}
+	cfg.capacity = map[fleet.Kind]int{{Class: "small", Zone: "a"}: 4}
+	w = newWorld(seed, cfg)
+	w.sabotage = sabotage
+	spec := func(urgency string, sheets int, cores float64) map[string]any {
+		return map[string]any{"docket": urgency, "crew": "blue", "form": "batch", "urgency": urgency,
+			"sheets": sheets, "cores": cores, "accelerators": 0.0, "ramGb": 2.0, "loaners": false, "reckonS": 10.0}
+	}
+	w.after(3*time.Second, func() { w.user("job-000000", spec("low", 30, 8), 20) })
+	for i := 1; i <= 140; i++ {
+		w.after(time.Duration(2+2*i)*time.Second, func() { w.user(fmt.Sprintf("job-%06d", i), spec("urgent", 12, 1), 10) })
+	}
+	for w.now < 280*time.Second && began == 0 {
+		w.run(w.now + time.Second)
+		for _, m := range w.machines {
+			for id, x := range m.tasks {
+				if strings.HasPrefix(id, "job-000000/") && x.state == wire.TaskRunning {
+					began = w.now
+				}
+			}
+		}
+	}
+	return w, began
+}
+
+// TestLargestJobBeginsInACrowd: it begins within four minutes although the order
+// of work puts everything else before it and no machine is ever empty.
+func TestLargestJobBeginsInACrowd(t *testing.T) {
+	withNodes(t, 2, func(t *testing.T, cfg worldConfig, seed uint64) {
+		w, began := crowd(cfg, seed, nil)
+		if began == 0 || began > 240*time.Second {
+			t.Errorf("the largest job began at %v", began)
+		}
+		w.mustKeepRules(t)
+	})
+	if _, began := crowd(standardWorld(), 1, func(c *Core) {
+		for _, j := range c.book.Open {
+			j.Begun = true // nothing is ever overdue
+		}
+	}); began != 0 {
+		t.Errorf("without the bound it began at %v: the crowd is too thin to show anything", began)
+	}
+}
--- a/internal/controller/world_run_test.go
+++ b/internal/controller/world_run_test.go
@@ -84,7 +84,7 @@
 		}
 		node := w.nodes[w.rng.IntN(len(w.nodes))]
 		m := w.liveMachine()
-		switch w.rng.IntN(13) {
+		switch w.rng.IntN(17) {
 		case 0, 1:
 			node.crash(w.between(0.1, 8))
 		case 2:
@@ -127,6 +127,20 @@
 			w.trace("cut %s %s", node.label, other)
 			w.setCut(node.label, other, true)
 			w.after(w.between(1, 30), func() { w.trace("cut over"); w.setCut(node.label, other, false) })
+		case 13, 14:
+			if m != nil {
+				w.trace("%s gets no answers", m.id)
+				w.deafen(m.id, true)
+				w.after(w.between(1, 40), func() { w.deafen(m.id, false) })
+			}
+		case 15:
+			w.trace("%s has only its workers", node.label)
+			w.isolate(node, true)
+			w.after(w.between(1, 30), func() { w.trace("%s has all again", node.label); w.isolate(node, false) })
+		case 16:
+			// Back at once, and once more in the election that follows.
+			node.crash(w.between(0.05, 0.5))
+			w.after(w.between(0.1, 4), func() { w.nodes[w.rng.IntN(len(w.nodes))].crash(w.between(0.05, 0.5)) })
 		}
 		w.after(w.between(0.5*every, 1.5*every), next)
 	}
@@ -170,8 +184,10 @@
 	for seed := firstSeed; seed < firstSeed+daysDrawn; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(seed, standardWorld())
-			w.slow, w.lost, w.repeats = 0.002, 0.002, 0.03
+			cfg := standardWorld()
+			cfg.nodes = []int{3, 5}[seed/2%2]
+			w := newWorld(seed, cfg)
+			w.slow, w.lost, w.repeats, w.copies = 0.002, 0.002, 0.03, 0.02
 			if seed%2 == 0 {
 				w.lag = 0.25 // messages overtake each other
 			}
@@ -181,7 +197,8 @@
 			randomJobs(w, 60, 200*time.Second)
 			randomFaults(w, []float64{20, 8, 4}[seed%3], 200*time.Second)
 			w.run(250 * time.Second)
-			w.slow, w.lost, w.repeats = 0, 0, 0
+			w.slow, w.lost, w.repeats, w.copies = 0, 0, 0, 0
+			w.calm = w.now
 			w.run(500 * time.Second)
 			w.mustKeepRules(t)
 			w.mustFinish(t)
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -38,6 +38,8 @@
 	starts   int
 
 	lag      float64            // most seconds that an ordinary message takes
+	copies   float64            // part of reports of which a copy comes late
+	calm     time.Duration      // when all troubles are over; 0: not yet known
 	repeats  float64            // part of orders that come twice
 	slow     float64            // part of messages that take long
 	lost     float64            // part of messages that are lost
@@ -138,13 +140,34 @@
 }
 
 func (w *world) setCut(a, b string, on bool) {
-	for _, l := range [][2]string{{a, b}, {b, a}} {
-		w.cut[l] = on
-		if !on {
-			for _, f := range w.held[l] {
-				f()
-			}
-			delete(w.held, l)
+	w.setOneWay(a, b, on)
+	w.setOneWay(b, a, on)
+}
+
+func (w *world) setOneWay(from, to string, on bool) {
+	l := [2]string{from, to}
+	w.cut[l] = on
+	if !on {
+		for _, f := range w.held[l] {
+			f()
+		}
+		delete(w.held, l)
+	}
+}
+
+// deafen keeps answers and orders from a machine whose reports arrive.
+func (w *world) deafen(id string, on bool) {
+	for _, n := range w.nodes {
+		w.setOneWay(n.label, id, on)
+	}
+}
+
+// isolate takes the state service and the peers from a node, but not its workers.
+func (w *world) isolate(n *simNode, on bool) {
+	w.setCut(n.label, "state", on)
+	for _, p := range w.nodes {
+		if p != n {
+			w.setCut(n.label, p.label, on)
 		}
 	}
 }
@@ -792,13 +815,17 @@
 	body := pack(m.message())
 	session := m.session
 	n := w.nodes[m.node]
-	w.call(m.id, n.label, 4*time.Second, func(answer func(int, []byte)) {
+	serve := func(answer func(int, []byte)) {
 		r := &wire.Report{}
 		if err := wire.Decode(body, r); err != nil {
 			panic(err)
 		}
 		n.ask(func(ref uint64) any { return Checkin{ref, r} }, answer)
-	}, func(status int, b []byte) {
+	}
+	if w.chance(w.copies) { // seconds to well over a lease late
+		w.after(w.between(1, 2.5*w.cfg.lease), func() { serve(func(int, []byte) {}) })
+	}
+	w.call(m.id, n.label, 4*time.Second, serve, func(status int, b []byte) {
 		m.when(func() {
 			m.inFlight = false
 			switch status {
@@ -1012,6 +1039,11 @@
 		if (status == 200 || status == 404) && told == j.told {
 			w.judge(j, status, b)
 		}
+		// The users' addition to the rules: once all is over, every job's
+		// questions are answered again.
+		if since := w.now - max(w.calm, j.lastPoll); w.calm > 0 && j.accepted && since > 75*time.Second {
+			w.break_("forgotten", "no question about %s was answered for %v", j.id, since)
+		}
 		w.after(w.between(4, 6), func() { w.poll(j) })
 	})
 }
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -100,6 +100,7 @@
 	Active   bool // this node owns the job's classes
 	Prepared bool // part 0 is written: tasks may be launched
 	Frozen   bool // launched by an earlier owner, whereabouts not yet known
+	Begun    bool // a task of it was seen running, or done
 
 	// Failures, for telling a faulty job from a faulty machine.
 	FailedOn  map[string]bool
@@ -158,6 +159,7 @@
 	}
 	j.Done.Set(task)
 	j.DoneCount++
+	j.Begun = true
 	j.dirty[task/limits.ChunkTasks] = true
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -243,6 +243,17 @@
 	CrowdedFor = 120 * time.Second
 )
 
+// Starvation: even in a crowd every job begins within four minutes.
+const (
+	// BeginWithin is from what age on a job that has not begun goes first, with up
+	// to BeginTasks tasks, and has a machine kept free for it if it fits nowhere.
+	// A fetch, a boot and a long task that must end first fit in the rest.
+	BeginWithin = 120 * time.Second
+	BeginTasks  = 2
+	// HoldPart is the part of the machines that may be kept free so, beyond one.
+	HoldPart = 0.02
+)
+
 // The process.
 const (
 	// TickEvery is the pace of the event loop's own work.
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -143,8 +143,7 @@
 	m.reportSeq = r.Seq
 	m.Address, m.Class, m.Zone, m.Spot = r.Address, r.Type, r.Zone, r.Spot
 	m.Session, m.Seq = r.Session, r.Seq
-	m.Heard, m.Answered = now, now
-	m.Lost = false
+	m.Heard, m.Answered, m.Lost = now, now, false
 	m.recall(now, r)
 	if r.Token != term {
 		m.Adopted = false
