Tasks that should start soon go where their image is

Cause: of the zapore-nujno tasks that started after 5 s, 12 in 17 joined a fetch on a machine where an earlier task of the job had just begun it, while others had the image. The settings name the classes by their aim on starting.

--- a/internal/allocation/allocation.go
+++ b/internal/allocation/allocation.go
@@ -14,6 +14,10 @@
 // better keep to other classes.
 const apart = 3
 
+// fetchPart of the time within which a task should start is what fetching its
+// image may take; the rest is for slower fetches and the way to the machine.
+const fetchPart = 0.6
+
 // Fits tells whether a is available in b.
 func (a Res) Fits(b Res) bool {
 	return a.CPUs <= b.CPUs+eps && a.GPUs <= b.GPUs+eps && a.Memory <= b.Memory+eps
@@ -32,7 +36,8 @@
 	Spot   bool
 	Size   Res // all that it has
 	Free   Res
-	Images map[string]bool // images that it has or fetches; not changed by Run
+	Fetch  float64         // GB a second
+	Images map[string]bool // images that it has (true) or fetches; not changed by Run
 	Busy   bool            // it has tasks; an idle one may soon be returned
 	coming map[string]bool // images that this run's placements make it fetch
 	held   string          // the only job whose tasks it takes
@@ -54,7 +59,10 @@
 	ByZone  map[string]int // its placed tasks by zone, for OneZone and Spread; changed by Run
 	Avoid   map[string]bool
 	Safe    bool // better not on a spot machine
-	Overdue bool // has waited too long to begin: Hold keeps room for it
+	// Within is how soon tasks should have started, s, and ImageGB what a machine
+	// without the image has to fetch first; 0: no matter.
+	Within, ImageGB float64
+	Overdue         bool // has waited too long to begin: Hold keeps room for it
 
 	at   *Machine // where Run put the last task of it
 	rank int
@@ -266,7 +274,11 @@
 	return false
 }
 
-func (m *Machine) has(image string) bool { return m.Images[image] || m.coming[image] }
+// has tells whether the image is there, or at least on its way.
+func (m *Machine) has(image string) bool {
+	_, known := m.Images[image]
+	return known || m.coming[image]
+}
 
 // again tells whether the machine that took the last task of the unit is still
 // the best one: it has less room than before, and if it ranks no lower, nothing
@@ -296,14 +308,18 @@
 	return best
 }
 
-// rankOf ranks a machine by what counts most: that a unit that should be safe is
-// on an ordinary machine; that the class is not one that much larger units need;
+// rankOf ranks a machine by what counts most: that a unit that should start soon
+// need not wait for its image; that a unit that should be safe is on an ordinary
+// machine; that the class is not one that much larger units need;
 // that the largest unit of the class loses no room, for small units spread over
 // large machines lock it out; that the image is there,
 // since a fetch takes room for as long as a short task runs; that the machine is
 // busy.
 func (u *Unit) rankOf(m *Machine, largest map[string]Res) int {
 	r := 0
+	if u.Within > 0 && (u.Image == "" || m.Images[u.Image] || u.ImageGB <= fetchPart*u.Within*m.Fetch) {
+		r += 32
+	}
 	big := largest[m.Class]
 	if u.Safe && !m.Spot {
 		r += 16
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -64,7 +64,7 @@
 
 // Objective is an aim that the users stated for a class of jobs.
 type Objective struct {
-	Kind    string  `json:"kind"` // finished, deadline; others are ignored
+	Kind    string  `json:"kind"` // finished, deadline, wait (tasks started); others are ignored
 	Class   string  `json:"class"`
 	WithinS float64 `json:"within_s"`
 	Times   float64 `json:"times"`
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -104,6 +104,9 @@
 		}
 		c.put(j, task, jobs.Place{Machine: m.ID, Attempt: t.Attempt, State: taskState(t.State), At: at})
 		if t.State == wire.TaskRunning {
+			if !ok || p.State < jobs.Running {
+				c.log("debug", "task runs", "job", j.ID, "task", task, "machine", m.ID, "class", j.Class, "afterS", c.age(j.SubmitUnix).Seconds())
+			}
 			j.Begun = true
 			if j.Image != "" {
 				m.Images[j.Image] = true
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -50,6 +50,17 @@
 	return list
 }
 
+// startWithin is how soon the tasks of a job's class should have started, in
+// seconds; 0 if nothing is said of it.
+func (c *Core) startWithin(j *jobs.Job) float64 {
+	for _, o := range c.set.Cluster.Objectives {
+		if o.Kind == "wait" && o.Class == j.Class {
+			return o.WithinS
+		}
+	}
+	return 0
+}
+
 // left returns the seconds until the job's soonest target that it can still
 // meet, and whether there is one; a job without targets always has one.
 func (c *Core) left(j *jobs.Job) (float64, bool) {
@@ -183,7 +194,7 @@
 // room brings the allocation's picture of a machine up to date.
 func (c *Core) room(m *workers.Machine, mt *wire.MachineType) *allocation.Machine {
 	h := c.hostOf(m.ID)
-	h.room = allocation.Machine{ID: m.ID, Class: m.Class, Zone: m.Zone, Spot: m.Spot, Size: size(mt), Free: size(mt).Add(h.used, -1), Images: m.Images, Busy: len(h.tasks) > 0}
+	h.room = allocation.Machine{ID: m.ID, Class: m.Class, Zone: m.Zone, Spot: m.Spot, Size: size(mt), Free: size(mt).Add(h.used, -1), Fetch: mt.FetchGBps, Images: m.Images, Busy: len(h.tasks) > 0}
 	return &h.room
 }
 
@@ -230,7 +241,7 @@
 			continue
 		}
 		u := &allocation.Unit{Job: j.ID, Need: need(j), Count: n, Image: j.Image, Classes: j.TypeSet, Shape: j.Shape, Zone: j.Zone, Spot: j.Spot,
-			OneZone: j.OneZone, Spread: j.Spread, Tasks: j.Tasks,
+			OneZone: j.OneZone, Spread: j.Spread, Tasks: j.Tasks, Within: c.startWithin(j), ImageGB: j.ImageGB,
 			Safe: j.CheckS <= 0 && j.DeadlineS > 0 && c.fleet.SpotRisk(j.EstimateS) > limits.SafeRisk}
 		if j.OneZone || j.Spread {
 			u.ByZone = map[string]int{}
@@ -337,13 +348,13 @@
 		}
 		a := c.attempt(p.Machine.Class)
 		c.put(j, task, jobs.Place{Machine: p.Machine.ID, Attempt: a, State: jobs.Planned, At: c.now.Steady})
-		if j.Image != "" {
-			m.Images[j.Image] = true
+		c.log("debug", "task placed", "job", j.ID, "task", task, "machine", p.Machine.ID, "attempt", a, "team", p.Team, "image", j.Image == "" || m.Images[j.Image])
+		if _, known := m.Images[j.Image]; !known && j.Image != "" {
+			m.Images[j.Image] = false
 		}
 		if len(c.touched) == 0 || c.touched[len(c.touched)-1] != m.ID {
 			c.touched = append(c.touched, m.ID)
 		}
-		c.log("debug", "task placed", "job", j.ID, "task", task, "machine", p.Machine.ID, "attempt", a, "team", p.Team)
 	}
 	for _, t := range o.teams {
 		t.Units = slices.DeleteFunc(t.Units, func(u *allocation.Unit) bool { return u.Count <= 0 })
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -44,7 +44,7 @@
 	reportSeq uint64 // of the last report; Seq may be that of an order's answer
 
 	Tasks  []wire.TaskReport // as last reported
-	Images map[string]bool   // images fetched by tasks placed here
+	Images map[string]bool   // images of tasks placed here; true once one of them ran
 
 	Strikes  int             // failed tasks since the last success
 	StruckBy map[string]bool // jobs that these belong to
