--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -172,6 +172,7 @@
 	othersReach time.Duration
 	nextUse     time.Duration
 	told        map[string][2]int
+	relief      map[string]bool // classes whose machines keep small tasks off scarce ones
 	typesSaved  map[string]bool
 	savingTypes bool
 	recorded    map[string]bool // machines whose record as up was wished for
@@ -183,7 +184,7 @@
 func NewCore(set *config.Settings, ops *config.Operator, now Now, random uint64) *Core {
 	c := &Core{set: set, ops: ops, now: now, teams: map[string]*config.Team{},
 		active: map[string]uint64{}, reported: map[attempt]bool{}, numbers: map[uint64]bool{}, orders: map[uint64]*order{}, on: map[string]*host{}, booked: map[string]map[string]booking{}, roster: map[string]rosterEntry{},
-		told: map[string][2]int{}, typesSaved: map[string]bool{}, recorded: map[string]bool{}, waiting: map[string]bool{}}
+		told: map[string][2]int{}, relief: map[string]bool{}, typesSaved: map[string]bool{}, recorded: map[string]bool{}, waiting: map[string]bool{}}
 	for i := range set.Cluster.Teams {
 		c.teams[set.Cluster.Teams[i].Name] = &set.Cluster.Teams[i]
 	}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -535,6 +535,7 @@
 		}
 		lacked += float64(u.Count) * u.Need.CPUs
 	}
+	clear(c.relief)
 	if lacked == 0 {
 		return
 	}
@@ -549,6 +550,7 @@
 			if !j.Active || !j.TypeSet[class] || j.Cancelled || !j.Spot {
 				continue
 			}
+			c.relief[class] = true
 			for _, p := range j.Placed {
 				if m := c.pool.Machines[p.Machine]; m != nil && scarce[m.Class] {
 					could += j.CPUs
@@ -643,7 +645,10 @@
 		if r == nil || m.Deleting || !m.Adopted {
 			continue
 		}
-		if c.tasksOn(m.ID) > 0 || used[m.ID] || c.holdsResults(m) {
+		// Machines that keep small tasks off scarce ones stay: guards against an
+		// incident in which they were returned by the hundred, with the images on
+		// them, and rented anew a few seconds later.
+		if c.tasksOn(m.ID) > 0 || used[m.ID] || c.relief[m.Class] || c.holdsResults(m) {
 			r.Idle = 0
 			continue
 		}
