--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -242,7 +242,7 @@
 		}
 		u := &allocation.Unit{Job: j.ID, Need: need(j), Count: n, Image: j.Image, Classes: j.TypeSet, Shape: j.Shape, Zone: j.Zone, Spot: j.Spot,
 			OneZone: j.OneZone, Spread: j.Spread, Tasks: j.Tasks, Within: c.startWithin(j), ImageGB: j.ImageGB,
-			Safe: j.CheckS <= 0 && j.DeadlineS > 0 && c.fleet.SpotRisk(j.EstimateS) > limits.SafeRisk}
+			Safe: c.safe(j)}
 		if j.OneZone || j.Spread {
 			u.ByZone = map[string]int{}
 			for _, p := range j.Placed {
@@ -269,6 +269,16 @@
 	return teams
 }
 
+// safe tells whether a job's tasks had better not be lost with a spot machine:
+// they save nothing, and would be late, or as long ones be started over and over.
+func (c *Core) safe(j *jobs.Job) bool {
+	if j.CheckS > 0 {
+		return false
+	}
+	risk := c.fleet.SpotRisk(j.EstimateS)
+	return (j.DeadlineS > 0 && risk > limits.SafeRisk) || risk > limits.LongRisk
+}
+
 // largest finds the largest unit that unfinished jobs may ask of each class.
 func (c *Core) largest() map[string]allocation.Res {
 	out := map[string]allocation.Res{}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -168,6 +168,9 @@
 	// SafeRisk is the risk of losing its machine from which a task that saves
 	// nothing goes to an ordinary machine if there is a choice.
 	SafeRisk = 0.03
+	// LongRisk is the same for tasks without a deadline: from here on one loss in
+	// eight costs more than the room that urgent tasks find elsewhere.
+	LongRisk = 0.12
 	// RentHorizon is within what time work without a target, or past all of
 	// them, should be done: a machine is paid for a minute in any case.
 	RentHorizon = 60 * time.Second
