What can't be taken is said at once; tests of packs, sums, holding and relief

A submission that the budget can't take within a second gets 429, and with the state service out of reach for a second 503, with the time to come back at, instead of waiting. The simulated world now compares the kept sums with the places.

--- a/internal/allocation/allocation_test.go
+++ b/internal/allocation/allocation_test.go
@@ -1,12 +1,22 @@
 package allocation
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 )
 
+// TestMain makes the drawn inputs the same in every run.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 var anyClass = map[string]bool{"c": true, "d": true}
 
 func unit(job string, cpus float64, n int) *Unit {
@@ -122,3 +132,46 @@
 		}
 	})
 }
+
+// TestHoldKeepsRoomForAnOverdueUnit: the machine that lacks least is kept for it,
+// and small units leave it alone.
+func TestHoldKeepsRoomForAnOverdueUnit(t *testing.T) {
+	a, b := machine("a", 3), machine("b", 6)
+	a.Size, b.Size = Res{CPUs: 8, Memory: 100}, Res{CPUs: 8, Memory: 100}
+	big := unit("big", 8, 2)
+	big.Overdue = true
+	teams := []*Team{{Name: "t", Booked: map[string]Res{}, Units: []*Unit{big, unit("small", 1, 20)}}}
+	held := Hold(teams, []*Machine{a, b}, 1)
+	if len(held) != 1 || !held["b"] {
+		t.Fatalf("held %v", held)
+	}
+	for _, p := range Run(teams, []*Machine{a, b}, map[string]Res{"c": {CPUs: 16, Memory: 200}}, nil) {
+		if p.Machine == b {
+			t.Errorf("%s went to the machine that is held", p.Unit.Job)
+		}
+	}
+	b.Free = b.Size
+	if ps := Run(teams, []*Machine{a, b}, map[string]Res{"c": {CPUs: 16, Memory: 200}}, nil); len(ps) != 1 || ps[0].Unit != big || ps[0].Machine != b {
+		t.Errorf("the room that was kept went to %v", ps)
+	}
+}
+
+// TestUnitsThatShouldStartSoonNeedNoFetch guards against tasks that join a fetch
+// just begun on one machine while another has the image.
+func TestUnitsThatShouldStartSoonNeedNoFetch(t *testing.T) {
+	coming, there, fast := machine("coming", 2), machine("there", 8), machine("fast", 16)
+	coming.Images, there.Images = map[string]bool{"i": false}, map[string]bool{"i": true}
+	coming.Busy, fast.Fetch = true, 1
+	u := unit("j", 2, 1)
+	u.Image, u.ImageGB = "i", 2
+	if m := pick(u, []*Machine{coming, there, fast}, nil); m != coming {
+		t.Errorf("no hurry, and it went to %s", m.ID)
+	}
+	u.Within = 4
+	if m := pick(u, []*Machine{coming, there, fast}, nil); m != there {
+		t.Errorf("in a hurry it went to %s", m.ID)
+	}
+	if m := pick(u, []*Machine{coming, fast}, nil); m != fast {
+		t.Errorf("without the image it went to %s", m.ID)
+	}
+}
--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"umberpaddle/internal/allocation"
 	"umberpaddle/internal/config"
+	"umberpaddle/internal/fleet"
 	"umberpaddle/internal/jobs"
 	"umberpaddle/internal/statestore"
 	"umberpaddle/internal/wire"
@@ -23,6 +25,63 @@
 	return NewCore(set, &config.Operator{}, Now{}, 7)
 }
 
+// checkSums compares what is kept of places, room and booked amounts with what
+// the jobs' places say.
+func (c *Core) checkSums() error {
+	used, on := map[string]allocation.Res{}, map[string]int{}
+	booked := map[string]map[string]allocation.Res{}
+	for _, j := range c.book.Open {
+		for task, p := range j.Placed {
+			h := c.on[p.Machine]
+			if h == nil || h.tasks[jobs.TaskID(j.ID, task)].job != j {
+				return fmt.Errorf("%s/%d is placed on %s, which doesn't know it", j.ID, task, p.Machine)
+			}
+			used[p.Machine] = used[p.Machine].Add(need(j), 1)
+			on[p.Machine]++
+			if booked[j.Team] == nil {
+				booked[j.Team] = map[string]allocation.Res{}
+			}
+			booked[j.Team][h.class] = booked[j.Team][h.class].Add(need(j), 1)
+		}
+	}
+	same := func(a, b allocation.Res) bool { return a.Fits(b) && b.Fits(a) }
+	for id, h := range c.on {
+		planned := 0
+		for _, p := range h.tasks {
+			pl := p.job.Placed[p.task]
+			if pl.State == jobs.Planned {
+				planned++
+			}
+			if c.book.Open[p.job.ID] != p.job { // over, until a report shows it gone
+				used[id] = used[id].Add(need(p.job), 1)
+				on[id]++
+				if booked[p.job.Team] == nil {
+					booked[p.job.Team] = map[string]allocation.Res{}
+				}
+				booked[p.job.Team][h.class] = booked[p.job.Team][h.class].Add(need(p.job), 1)
+			}
+		}
+		if len(h.tasks) != on[id] || planned != h.planned || !same(h.used, used[id]) {
+			return fmt.Errorf("%s: %d tasks, %d planned, %v used; want %d, %d, %v", id, len(h.tasks), h.planned, h.used, on[id], planned, used[id])
+		}
+	}
+	for team, by := range c.booked {
+		for class, b := range by {
+			if !same(b.sum, booked[team][class]) {
+				return fmt.Errorf("%s on %s: %v booked, want %v", team, class, b.sum, booked[team][class])
+			}
+		}
+	}
+	for team, by := range booked {
+		for class := range by {
+			if _, ok := c.booked[team][class]; !ok {
+				return fmt.Errorf("%s on %s: nothing booked", team, class)
+			}
+		}
+	}
+	return nil
+}
+
 // TestEndedAttemptDoesNotHideALostLaunch guards against a task that is never
 // launched again: its earlier attempt, ended and not yet cleared, was taken for
 // the later one whose launch was lost.
@@ -154,3 +213,94 @@
 	w.mustKeepRules(t)
 	w.mustFinish(t)
 }
+
+// TestScarceClassesAreRelieved: large tasks lack machines of which the cloud has
+// no more, while small ones run there that a smaller class could take. Machines of
+// that class are rented, and stay though idle as long as the large ones lack.
+func TestScarceClassesAreRelieved(t *testing.T) {
+	c := testCore(t)
+	for name, cpus := range map[string]float64{"small": 8, "large": 16} {
+		c.fleet.Types[name] = &wire.MachineType{Name: name, CPUs: cpus, MemoryGB: 64, Price: 1, SpotPrice: 0.5, BootS: 10, Zones: []string{"a"}}
+		c.active[name] = 5
+	}
+	open := func(id string, cpus float64, types ...string) *jobs.Job {
+		raw, err := wire.Encode(&wire.Job{ID: id, Team: "red", Tasks: 12, CPUs: cpus, Types: types, Spot: true, EstimateS: 30})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.book.Apply(statestore.Change{Key: statestore.Root + "o/" + id, Entry: statestore.Entry{Value: raw, Version: 1}})
+		c.book.Open[id].Active = true
+		return c.book.Open[id]
+	}
+	c.pool.Expect("i-1", "large", "a", true, 0)
+	small := open("job-1", 2, "large", "small")
+	for i := 0; i < 8; i++ {
+		c.put(small, i, jobs.Place{Machine: "i-1", Attempt: uint64(i), State: jobs.Running})
+	}
+	open("job-2", 16, "large")
+	large := &allocation.Unit{Job: "job-2", Need: allocation.Res{CPUs: 16}, Count: 5, Classes: map[string]bool{"large": true}}
+	w := &wish{want: map[fleet.Kind]int{}, refused: []*allocation.Unit{large}}
+	c.relieve(w, nil)
+	if n := w.want[fleet.Kind{Class: "small", Zone: "a", Spot: true}]; n != 2 {
+		t.Errorf("%d small machines wished for the 16 CPUs that small tasks take", n)
+	}
+	idle := c.pool.Expect("i-2", "small", "a", true, 0)
+	idle.Adopted = true
+	c.fleet.Know("i-2", fleet.Kind{Class: "small", Zone: "a", Spot: true}, 0)
+	returned := func() bool {
+		for _, at := range []time.Duration{100, 200} {
+			c.now.Steady = at * time.Second
+			c.returnIdle(nil)
+		}
+		return idle.Deleting
+	}
+	if returned() {
+		t.Error("an idle machine was returned that keeps small tasks off scarce ones")
+	}
+	c.relieve(&wish{want: map[fleet.Kind]int{}}, nil)
+	if !returned() {
+		t.Error("an idle machine is kept though nothing lacks")
+	}
+}
+
+// BenchmarkReports takes in reports of busy machines: a second's worth of core work
+// must not grow faster than the fleet. Compare the sizes as ratios.
+func BenchmarkReports(b *testing.B) {
+	for _, machines := range []int{100, 800, 4000} {
+		b.Run(fmt.Sprint(machines), func(b *testing.B) {
+			w := newWorld(1, standardWorld())
+			w.run(5 * time.Second)
+			n := w.owner()
+			c, term := n.core, n.core.active["small"]
+			for i := 0; i < 150; i++ {
+				raw, err := wire.Encode(&wire.Job{ID: fmt.Sprintf("job-%d", i), Team: "blue", Tasks: machines / 10, CPUs: 1, MemoryGB: 1, Types: []string{"small"}, Spot: true, EstimateS: 30})
+				if err != nil {
+					b.Fatal(err)
+				}
+				id := fmt.Sprintf("job-%d", i)
+				c.store.Mirror.Put(statestore.Root+"o/"+id, raw, uint64(1000+i))
+			}
+			seq := make([]uint64, machines)
+			report := func(i int) {
+				seq[i]++
+				r := &wire.Report{Machine: fmt.Sprintf("i-%d", i), Type: "small", Zone: "a", Session: 1, Seq: seq[i], Token: term}
+				if h := c.on[r.Machine]; h != nil {
+					for id, p := range h.tasks {
+						r.Tasks = append(r.Tasks, wire.TaskReport{Task: id, Attempt: p.job.Placed[p.task].Attempt, State: wire.TaskRunning})
+					}
+				}
+				c.Step(n.clock(), Checkin{Report: r})
+			}
+			for round := 0; round < 3; round++ {
+				for i := range seq {
+					report(i)
+				}
+				w.run(w.now + time.Second)
+			}
+			b.ResetTimer()
+			for k := 0; k < b.N; k++ {
+				report(k % machines)
+			}
+		})
+	}
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -425,7 +425,7 @@
 			}
 		}
 	}
-	c.relieve(w, teams, machines)
+	c.relieve(w, machines)
 	kinds = kinds[:0]
 	for k := range w.want {
 		kinds = append(kinds, k)
@@ -537,7 +537,7 @@
 // relieve rents machines for work that could leave the classes that the cloud
 // has no more of to units that fit nowhere else: small tasks may use classes
 // that large ones can't, but found room in a class that both use.
-func (c *Core) relieve(w *wish, teams []*allocation.Team, machines []*allocation.Machine) {
+func (c *Core) relieve(w *wish, machines []*allocation.Machine) {
 	scarce, lacked := map[string]bool{}, 0.0
 	for _, u := range w.refused {
 		for class := range u.Classes {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -107,10 +107,6 @@
 		c.answer(x.Ref, refuse(404, "no such job"))
 		return
 	}
-	if c.store.Down() && c.store.Backlog() > limits.MaxWaiting {
-		c.answer(x.Ref, jobs.Later())
-		return
-	}
 	c.book.Query(c.now.Steady, x.ID, func(a jobs.Answer) { c.answer(x.Ref, a) })
 }
 
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -207,6 +207,7 @@
 	life  int
 	start time.Duration
 	drift float64
+	steps int
 	refs  map[uint64]func(int, []byte)
 	ref   uint64
 	// remote, if set, stands for a real process at the other end of a socket.
@@ -277,6 +278,13 @@
 	if n.w.sabotage != nil {
 		n.w.sabotage(n.core)
 	}
+	defer func() {
+		if n.steps++; n.steps%25 == 0 && n.core != nil {
+			if err := n.core.checkSums(); err != nil {
+				n.w.break_("sums", "%s: %v", n.label, err)
+			}
+		}
+	}()
 	life := n.life
 	alive := func() bool { return n.life == life && n.core != nil }
 	for _, o := range n.core.Step(n.clock(), in) {
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -234,3 +234,39 @@
 		t.Errorf("%d parts removed", removed)
 	}
 }
+
+// TestWhatCannotBeTakenIsSaidAtOnce: a state service that failed for a while, or a
+// budget used up for longer than a user should wait, is told without waiting.
+func TestWhatCannotBeTakenIsSaidAtOnce(t *testing.T) {
+	b := newBench(t)
+	submit := func(id string) (a Answer) {
+		b.book.Submit(b.now, &wire.Job{ID: id, Tasks: 1}, func(x Answer) { a = x })
+		return a
+	}
+	b.store.Share(0.001) // a change a second
+	n := 0
+	for ; n < 1000; n++ {
+		a := submit(fmt.Sprintf("job-%d", n))
+		if a.Status == 429 && a.RetryAfter > 0 {
+			break
+		}
+		if a.Status != 0 {
+			t.Fatalf("answer %+v", a)
+		}
+		b.store.Txn(statestore.User, 0, wire.Txn{Then: []wire.Op{{Key: "x"}}}, func(statestore.Reply) {})
+	}
+	if n == 1000 {
+		t.Error("taken in for minutes")
+	}
+	b = newBench(t)
+	b.store.LastOK, b.store.LastFail = b.now, b.now+limits.DownAfter+1
+	b.now = b.store.LastFail
+	if a := submit("job-2"); a.Status != 503 || a.RetryAfter == 0 {
+		t.Errorf("without the state service: %+v", a)
+	}
+	asked := Answer{}
+	b.book.Query(b.now, "job-3", func(a Answer) { asked = a })
+	if asked.Status != 503 {
+		t.Errorf("a question without the state service: %+v", asked)
+	}
+}
--- a/internal/jobs/users.go
+++ b/internal/jobs/users.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"math"
 	"time"
 
 	"umberpaddle/internal/limits"
@@ -60,6 +61,15 @@
 		answer(Answer{Status: 429, Body: wire.ErrorBody{Error: "too many requests wait"}, RetryAfter: limits.RetryAfterS})
 		return
 	}
+	// What can't be taken now is said at once, with the time to come back at.
+	if b.store.Unreachable() {
+		answer(Later())
+		return
+	}
+	if wait := b.store.WriteWait(statestore.User); wait > limits.SubmitHold {
+		answer(Answer{Status: 429, Body: wire.ErrorBody{Error: "the state service's budget is used up"}, RetryAfter: int(math.Ceil(wait.Seconds()))})
+		return
+	}
 	s := &submit{job: job, until: b.now + limits.SubmitWait, answers: []func(Answer){answer}}
 	b.byRef[job.ID] = s
 	b.waiting++
@@ -168,6 +178,10 @@
 		a.answer(Answer{Status: 200, Body: wire.JobStatus{ID: a.id, Status: f.Status, Done: f.Done}})
 		return
 	}
+	if b.store.Unreachable() {
+		a.answer(Later())
+		return
+	}
 	if b.waiting >= 2*limits.MaxWaiting {
 		a.answer(Answer{Status: 429, Body: wire.ErrorBody{Error: "too many requests wait"}, RetryAfter: limits.RetryAfterS})
 		return
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -74,6 +74,9 @@
 	StoreInFlight = 12
 	// StoreQueue bounds the waiting requests; beyond it the stages before hold back.
 	StoreQueue = 2000
+	// DownAfter is for how long the state service must have failed before users are
+	// told so without trying.
+	DownAfter = time.Second
 	// StoreBackoff spaces requests after a refusal.
 	StoreBackoff = 300 * time.Millisecond
 	// BudgetUse is the part of the request budget that the nodes use together,
@@ -118,7 +121,10 @@
 	// SubmitWait is how long a submission may wait for the state service before
 	// the user is told to come back.
 	SubmitWait = 2500 * time.Millisecond
-	// PollWait is the same for a query; users wait 2 s.
+	// SubmitHold is the longest wait for the budget of changes that a submission is
+	// taken in with; if it would be longer, the user is told when to come back.
+	SubmitHold = time.Second
+	// PollWait is SubmitWait for a query; users wait 2 s.
 	PollWait = 1500 * time.Millisecond
 	// MaxWaiting bounds requests of users that wait in this node.
 	MaxWaiting = 400
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -170,9 +170,6 @@
 	return s.now + wait
 }
 
-// Backlog is how many requests wait.
-func (s *Store) Backlog() int { return s.queued }
-
 func (s *Store) add(r *request) {
 	if s.queued >= limits.StoreQueue && r.prio != Lease {
 		r.done(Reply{Status: 503, SentAt: s.now})
@@ -257,6 +254,21 @@
 	f.req.done(Reply{Status: status, Body: body, SentAt: f.sent})
 }
 
+// Unreachable tells that the state service has failed for a while: whoever needs
+// it should be told at once, and not after one more failure.
+func (s *Store) Unreachable() bool { return s.Down() && s.LastFail-s.LastOK > limits.DownAfter }
+
+// WriteWait is how long one more change of a priority would wait for the budget.
+func (s *Store) WriteWait(p Priority) time.Duration {
+	n := 1 - s.writes.level
+	for q := Lease; q <= p; q++ {
+		for _, r := range s.queues[q] {
+			n += float64(r.writes)
+		}
+	}
+	return time.Duration(max(0, n/s.writes.rate) * float64(time.Second))
+}
+
 // Down tells whether the state service seems out of reach: the newest failure
 // is newer than every success.
 func (s *Store) Down() bool { return s.LastFail > s.LastOK && s.LastFail > 0 }
