--- a/internal/statestore/pack.go
+++ b/internal/statestore/pack.go
@@ -73,7 +73,7 @@
 
 // Apply follows a change of the mirror.
 func (p *Pack) Apply(c Change) {
-	if !strings.HasPrefix(c.Key, p.prefix) {
+	if rest, ok := strings.CutPrefix(c.Key, p.prefix); !ok || !strings.Contains(rest, "/") {
 		return
 	}
 	recs := map[string]msgpack.RawMessage{}
