After all controllers ended the last owner gets its classes back

Cause: the first node back was mapped, but must wait 2.8 s for promises of its earlier life; the last owner, back half a second later, need not.

--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -239,3 +239,29 @@
 		t.Errorf("without the bound it began at %v: the crowd is too thin to show anything", began)
 	}
 }
+
+// TestLastOwnerActsAtOnce guards against three seconds without an owner after all
+// controllers have ended: the first one back was given the classes, and had to wait
+// for promises that its earlier life might have made.
+func TestLastOwnerActsAtOnce(t *testing.T) {
+	withNodes(t, 3, func(t *testing.T, cfg worldConfig, seed uint64) {
+		w := newWorld(seed, cfg)
+		steadyJobs(w, 6)
+		w.run(50 * time.Second)
+		last := w.owner()
+		for _, n := range w.nodes {
+			back := w.between(3.0, 3.3)
+			if n == last {
+				back = 3600 * time.Millisecond
+			}
+			n.crash(back)
+		}
+		w.run(55 * time.Second)
+		if n := w.owner(); n != last {
+			t.Errorf("1.4 s after its return the last owner does not act")
+		}
+		w.run(300 * time.Second)
+		w.mustKeepRules(t)
+		w.mustFinish(t)
+	})
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -445,6 +445,12 @@
 	for c, r := range n.maps {
 		owner[c] = r.Node
 		all = append(all, c)
+		// After all nodes have ended, the last owner need not wait for promises of
+		// earlier lives, and everybody else must: as long as nobody has claimed the
+		// class, it is the last owner's again once that is back.
+		if last := n.last[c]; alive[last] {
+			owner[c] = last
+		}
 	}
 	for c, r := range n.owns {
 		owner[c] = r.Node
