An owner that no worker reaches hands its classes over

Changes: the owner names its successor itself after 1.25 report intervals without any report; silence counts only while others are heard; after a takeover missing machines are taken for dead only when no more arrive, then ordinary ones too.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -147,7 +147,11 @@
 	roster  map[string]rosterEntry
 	records *statestore.Pack // the roster's keys
 	counter uint64           // attempts given out
-	regroup bool             // what decides on Active and Frozen may have changed
+	// lastReport is when a worker's report last counted, backAt when one last came
+	// after a time without any, and newcomer when a machine last found this owner.
+	lastReport, backAt, newcomer time.Duration
+
+	regroup bool // what decides on Active and Frozen may have changed
 	// reported is room for sync's look at one report.
 	reported map[attempt]bool
 	numbers  map[uint64]bool
@@ -268,6 +272,9 @@
 	c.follow()
 	c.share()
 	c.own.Tick(t, c.fleet.Classes(), c.demand)
+	if c.deserted() {
+		c.own.HandOver()
+	}
 	c.followClaims()
 	c.manageMachines()
 	c.activateJobs()
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -28,8 +28,10 @@
 		reply(503, nil)
 		return
 	}
-	adopted := c.pool.Machines[r.Machine] != nil && c.pool.Machines[r.Machine].Adopted
-	recalled := c.pool.Machines[r.Machine] != nil && c.pool.Machines[r.Machine].Recall != 0
+	var adopted, recalled, found bool
+	if m := c.pool.Machines[r.Machine]; m != nil {
+		adopted, recalled, found = m.Adopted, m.Recall != 0, m.Term == term
+	}
 	m, v := c.pool.Hear(c.now.Steady, r, term, c.own.Claims()[r.Type].Since)
 	switch v {
 	case workers.Stale, workers.Deposed:
@@ -38,6 +40,7 @@
 		return
 	}
 	c.regroup = c.regroup || m.Adopted != adopted
+	c.heard(m, found)
 	if m.Recall != 0 && !recalled && m.Spot {
 		c.fleet.SpotLost()
 	}
@@ -266,7 +269,8 @@
 			c.log("info", "machine's lease is over", "machine", m.ID, "tasks", c.tasksOn(m.ID))
 			c.clearMachine(m.ID)
 		}
-		patient := many && !m.Spot && t-m.Heard < limits.ManyLeases*c.pool.Lease
+		// Not after a takeover, when all that was launched before waits for them.
+		patient := many && !m.Spot && !c.missing(m) && t-m.Heard < limits.ManyLeases*c.pool.Lease
 		if !m.Deleting && !patient && c.silent(m, heard) && c.own.MayLaunch() {
 			if r := c.fleet.Know(m.ID, fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, m.Heard); r != nil && (r.Up || m.Lost || r.Listed == wire.MachineRunning || t-r.Since > c.bootTime(m.Class)) {
 				if m.Spot && m.Recall == 0 {
@@ -288,6 +292,57 @@
 	}
 }
 
+// heard takes note of a report that counted, for what silence means.
+func (c *Core) heard(m *workers.Machine, found bool) {
+	t := c.now.Steady
+	if t-c.lastReport > c.quiet() {
+		c.backAt = t
+	}
+	c.lastReport = t
+	if !found && c.roster[m.ID].Up {
+		c.newcomer = t
+	}
+}
+
+// quiet is for how long there may be no report at all from many machines.
+func (c *Core) quiet() time.Duration {
+	return max(limits.DesertedFloor, time.Duration(limits.DesertedReports*float64(c.pool.Report)))
+}
+
+// silence is for how long a machine has been silent while others were heard.
+// Guards against an owner that was cut off from all workers: as soon as one was
+// heard again, it returned all the others, with their tasks.
+func (c *Core) silence(m *workers.Machine) time.Duration {
+	return c.now.Steady - max(m.Heard, c.backAt)
+}
+
+// deserted tells whether no worker reaches this owner any more, though many did:
+// it is cut off from them, and keeps its classes all the same as long as it
+// reaches the state service. Guards against a day on which all machines lost their
+// tasks that way. Whoever was never heard as owner waits for a lease, so that
+// machines that are all gone don't send the classes round and round.
+func (c *Core) deserted() bool {
+	if len(c.active) == 0 || !c.own.LeaseValid() {
+		return false
+	}
+	last, wait := c.lastReport, c.quiet()
+	for class := range c.active {
+		if cl := c.own.Claims()[class]; cl != nil && cl.Since > last {
+			last, wait = cl.Since, c.pool.Bound(0)
+		}
+	}
+	if c.now.Steady-last <= wait {
+		return false
+	}
+	up := 0
+	for id, m := range c.pool.Machines {
+		if c.roster[id].Up && !m.Deleting {
+			up++
+		}
+	}
+	return up >= limits.ManyLeast
+}
+
 // manySilent tells whether many ordinary machines are silent at once. Nobody takes
 // those back, so they hang or are cut off and may go on, some within their
 // lease; deleted, they may not be had again. Guards against an incident in which
@@ -299,7 +354,7 @@
 			continue
 		}
 		all++
-		if c.now.Steady-m.Heard > c.pool.Report*5/4+limits.TakeoverSlack {
+		if c.silence(m) > c.pool.Report*5/4+limits.TakeoverSlack {
 			silent++
 		}
 	}
@@ -317,7 +372,11 @@
 	}
 	// Answered once and silent since counts as well: guards against a takeover
 	// that waited three reports for machines that were lost in its midst.
-	if c.roster[m.ID].Up && !m.Resolved() && t-m.Heard > c.pool.Report*5/4+limits.TakeoverSlack {
+	if c.missing(m) && c.silence(m) > c.pool.Report*5/4+limits.TakeoverSlack {
+		// As long as others still arrive it may only be slow to find us.
+		if t-c.newcomer < limits.TakeoverPause {
+			return false
+		}
 		all, found := 0, 0
 		for id, x := range c.pool.Machines {
 			if c.roster[id].Up {
@@ -329,9 +388,12 @@
 		}
 		return float64(found) >= limits.TakeoverHeard*float64(all)
 	}
-	return t-m.Heard > c.pool.SilentFor()
+	return c.silence(m) > c.pool.SilentFor()
 }
 
+// missing tells whether a takeover still waits for a machine.
+func (c *Core) missing(m *workers.Machine) bool { return c.roster[m.ID].Up && !m.Resolved() }
+
 // holdsResults tells whether the machine reports completions that are not
 // durable yet: they would have to be run again.
 func (c *Core) holdsResults(m *workers.Machine) bool {
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -265,3 +265,100 @@
 		w.mustFinish(t)
 	})
 }
+
+// cutWorkers takes all workers, those that come up later too, from a node until
+// a time. What was sent meanwhile is lost.
+func (w *world) cutWorkers(n *simNode, until time.Duration) {
+	on := w.now < until
+	for _, id := range sortedKeys(w.machines) {
+		delete(w.held, [2]string{n.label, id})
+		delete(w.held, [2]string{id, n.label})
+		w.setCut(n.label, id, on)
+	}
+	if on {
+		w.after(100*time.Millisecond, func() { w.cutWorkers(n, until) })
+	}
+}
+
+// TestOwnerWithoutWorkersHandsOver: the owner keeps the state service and its
+// peers but loses all workers for three leases. Another must act before any
+// worker loses its tasks, and when the cut ends no machine may be returned for a
+// silence that was the owner's. A core that takes itself for heard must be caught.
+func TestOwnerWithoutWorkersHandsOver(t *testing.T) {
+	play := func(cfg worldConfig, seed uint64, sabotage func(*Core)) (w *world, lost int) {
+		w = newWorld(seed, cfg)
+		steadyJobs(w, 8)
+		w.run(50 * time.Second)
+		old := w.owner()
+		w.sabotage = sabotage
+		up := 0
+		for _, m := range w.machines {
+			if m.up && !m.gone && len(m.tasks) > 0 {
+				up++
+			}
+		}
+		w.cutWorkers(old, w.now+time.Duration(3*cfg.lease*float64(time.Second)))
+		w.run(w.now + 12*time.Second)
+		if n := w.owner(); sabotage == nil && (n == nil || n == old) {
+			t.Error("nobody took over from the owner without workers")
+		}
+		w.run(w.now + time.Duration(3*cfg.lease*float64(time.Second)))
+		for _, m := range w.machines {
+			if m.gone && m.session > 1 {
+				lost++
+			}
+		}
+		return w, lost + w.sessions()
+	}
+	withNodes(t, 4, func(t *testing.T, cfg worldConfig, seed uint64) {
+		w, lost := play(cfg, seed, nil)
+		if lost > 0 {
+			t.Errorf("%d machines lost their tasks", lost)
+		}
+		w.run(300 * time.Second)
+		w.mustKeepRules(t)
+		w.mustFinish(t)
+	})
+	if _, lost := play(standardWorld(), 1, func(c *Core) {
+		if len(c.active) > 0 {
+			c.lastReport = c.now.Steady
+		}
+	}); lost == 0 {
+		t.Error("a core that takes itself for heard lost nothing")
+	}
+}
+
+// TestSilenceOfTheOwnersOwnIsNotTheMachines: with no peer to hand over to, an owner
+// that was cut off returns nothing when its workers come back one by one.
+func TestSilenceOfTheOwnersOwnIsNotTheMachines(t *testing.T) {
+	play := func(cfg worldConfig, seed uint64, sabotage func(*Core)) (gone int) {
+		cfg.nodes = 1
+		w := newWorld(seed, cfg)
+		steadyJobs(w, 8)
+		w.run(50 * time.Second)
+		var up []*simMachine
+		for _, id := range sortedKeys(w.machines) {
+			if m := w.machines[id]; m.up && !m.gone && len(m.tasks) > 0 {
+				up = append(up, m)
+			}
+		}
+		w.sabotage = sabotage
+		w.cutWorkers(w.nodes[0], w.now+12*time.Second)
+		w.run(w.now + 16*time.Second)
+		for _, m := range up {
+			if m.gone {
+				gone++
+			}
+		}
+		w.mustKeepRules(t)
+		return gone
+	}
+	for seed := uint64(1); seed <= 5; seed++ {
+		if n := play(standardWorld(), seed, nil); n > 0 {
+			t.Errorf("seed %d: %d machines were returned", seed, n)
+		}
+	}
+	if play(standardWorld(), 1, func(c *Core) { c.backAt = 0 }) == 0 {
+		t.Error("a core that blames the machines returned none")
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -152,6 +152,15 @@
 	// TakeoverHeard is the part of the machines that must have found the new
 	// owner before the others are taken for dead rather than cut off.
 	TakeoverHeard = 0.6
+	// DesertedReports, in report intervals, and DesertedFloor are for how long an
+	// owner may hear no worker at all before it hands its classes over: a worker
+	// reports within a quarter more than its interval, and gives up on an answer
+	// after 4 s. It must leave the workers most of their lease to find the next.
+	DesertedReports = 1.25
+	DesertedFloor   = 4 * time.Second
+	// TakeoverPause is for how long no further machine must have found a new owner
+	// before the missing ones are taken for dead.
+	TakeoverPause = time.Second
 	// ManyLeast and ManyPart are from how many, and what part, of the ordinary
 	// machines on a common silence is taken for a cut or a hang that may end;
 	// ManyLeases is how many leases it may last.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -32,6 +32,8 @@
 	Node  string `msgpack:"n"`
 	Inc   uint64 `msgpack:"i"`
 	Lease uint64 `msgpack:"l,omitempty"`
+	// Handed marks a mapping that the last owner wrote itself, by HandOver.
+	Handed bool `msgpack:"h,omitempty"`
 }
 
 type record struct {
@@ -70,6 +72,7 @@
 	ended  map[uint64]bool // leases of our earlier incarnations being ended
 
 	claims    map[string]*Claim
+	leaving   map[string]uint64        // class -> term that is being handed over
 	busy      map[string]time.Duration // key -> no new attempt before
 	nextRemap time.Duration
 	jitter    time.Duration
@@ -83,7 +86,7 @@
 func New(name string, others []string, inc uint64, start time.Duration, store *statestore.Store, log func(string, string, ...any)) *Node {
 	return &Node{Name: name, Inc: inc, store: store, others: others, log: log, now: start, start: start,
 		nodes: map[string]record{}, maps: map[string]record{}, owns: map[string]record{}, last: map[string]string{},
-		ended: map[uint64]bool{}, claims: map[string]*Claim{}, busy: map[string]time.Duration{}, promises: map[string]time.Duration{},
+		ended: map[uint64]bool{}, claims: map[string]*Claim{}, leaving: map[string]uint64{}, busy: map[string]time.Duration{}, promises: map[string]time.Duration{},
 		jitter: time.Duration(inc % uint64(limits.ElectionJitter))}
 }
 
@@ -374,10 +377,22 @@
 		if !n.mine(r) || n.claims[class] != nil {
 			continue
 		}
+		release := wire.Txn{
+			Guards: []wire.Guard{{Key: keyOwn + classKey(class), Version: r.version}},
+			Then:   []wire.Op{{Remove: keyOwn + classKey(class)}}}
 		if n.maps[class].Node != n.Name {
-			n.try(keyOwn+class, wire.Txn{
-				Guards: []wire.Guard{{Key: keyOwn + classKey(class), Version: r.version}},
-				Then:   []wire.Op{{Remove: keyOwn + classKey(class)}}})
+			n.try(keyOwn+class, release)
+			continue
+		}
+		// A term that was handed over is never acted on again, whatever came of
+		// the transaction: orders of ours may still be carried out under it.
+		if n.leaving[class] == r.version {
+			if next := n.successor(); next != "" {
+				key := keyMap + classKey(class)
+				release.Guards = append(release.Guards, wire.Guard{Key: key, Version: n.maps[class].version})
+				release.Then = append(release.Then, wire.Op{Key: key, Value: holder{Node: next, Handed: true}})
+			}
+			n.try(keyOwn+class, release)
 			continue
 		}
 		// A peer that holds our promise, or may hold one of an earlier life
@@ -390,6 +405,41 @@
 	}
 }
 
+// HandOver gives all classes to another node, for an owner that its workers
+// can't reach: it stops acting in this step, and names its successor itself, since
+// the leader sees nothing wrong with it.
+func (n *Node) HandOver() {
+	next := n.successor()
+	if next == "" || !n.LeaseValid() {
+		return
+	}
+	for class, c := range n.claims {
+		n.log("info", "class handed over", "class", class, "term", c.Term, "to", next)
+		n.leaving[class] = c.Term
+	}
+	n.dropClaims()
+}
+
+// successor is the live node that follows this one in the order of names.
+func (n *Node) successor() string {
+	first, next := "", ""
+	for name := range n.nodes {
+		if name == n.Name {
+			continue
+		}
+		if first == "" || name < first {
+			first = name
+		}
+		if name > n.Name && (next == "" || name < next) {
+			next = name
+		}
+	}
+	if next == "" {
+		return first
+	}
+	return next
+}
+
 // pastOldPromises tells whether promises given before a restart are over, or
 // can't concern the class since its last owner was this node itself.
 func (n *Node) pastOldPromises(class string) bool {
@@ -447,8 +497,9 @@
 		all = append(all, c)
 		// After all nodes have ended, the last owner need not wait for promises of
 		// earlier lives, and everybody else must: as long as nobody has claimed the
-		// class, it is the last owner's again once that is back.
-		if last := n.last[c]; alive[last] {
+		// class, it is the last owner's again once that is back. Not if that has
+		// just handed it over.
+		if last := n.last[c]; alive[last] && !r.Handed {
 			owner[c] = last
 		}
 	}
