Long batches run on ordinary machines; silent and recalled machines go sooner

After a cut the new owner counted the missing machines as being on their way and rented nothing for 12 s.

Changes: a job whose lost task could not be redone in time avoids spot machines if it is likely to lose one; tasks that can't end before a recall start over at once; recalled machines go at the announced time, silent ones when a live worker would be back; ordinary machines silent together are waited for only if the cloud lately refused their kind; missing machines are no supply.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -205,6 +205,7 @@
 	c.fleet = fleet.New(cl.Cloud.RPS, cl.Cloud.ListLagS, hirePrefix(set.Label, random), c.log)
 	c.fleet.Gone = c.machineGone
 	c.fleet.Patience = c.pool.SilentFor()
+	c.fleet.Round = c.pool.Report*5/4 + limits.TakeoverSlack
 	return c
 }
 
@@ -374,7 +375,9 @@
 				if e.Up {
 					c.pool.Expect(id, e.Class, e.Zone, e.Spot, cl.Since)
 				}
-				c.fleet.Know(id, fleet.Kind{Class: e.Class, Zone: e.Zone, Spot: e.Spot}, c.now.Steady-c.age(float64(e.At)))
+				if r := c.fleet.Know(id, fleet.Kind{Class: e.Class, Zone: e.Zone, Spot: e.Spot}, c.now.Steady-c.age(float64(e.At))); r != nil {
+					r.WasUp = e.Up
+				}
 			}
 		}
 	}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -101,11 +101,11 @@
 			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt})
 			continue
 		}
-		at := p.At
-		if !ok {
-			at = c.now.Steady
+		ran := p.Ran
+		if ran == 0 && t.State == wire.TaskRunning {
+			ran = c.now.Steady
 		}
-		c.put(j, task, jobs.Place{Machine: m.ID, Attempt: t.Attempt, State: taskState(t.State), At: at})
+		c.put(j, task, jobs.Place{Machine: m.ID, Attempt: t.Attempt, State: taskState(t.State), Ran: ran})
 		if t.State == wire.TaskRunning {
 			if !ok || p.State < jobs.Running {
 				c.log("debug", "task runs", "job", j.ID, "task", task, "machine", m.ID, "class", j.Class, "afterS", c.age(j.SubmitUnix).Seconds())
@@ -118,6 +118,8 @@
 		switch {
 		case j.Cancelled:
 			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt})
+		case m.Recall != 0 && c.hopeless(m, j, task, t.State):
+			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt})
 		case t.State == wire.TaskRunning && c.mustSave(m, j):
 			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt, GraceS: j.SaveS + 1})
 		}
@@ -166,6 +168,19 @@
 	return left <= need
 }
 
+// hopeless tells whether a task that saves nothing will not be done before the
+// cloud takes its machine: it had better start over elsewhere at once.
+func (c *Core) hopeless(m *workers.Machine, j *jobs.Job, task int, state string) bool {
+	if j.CheckS > 0 || state == wire.TaskSaving {
+		return false
+	}
+	left := j.EstimateS
+	if p := j.Placed[task]; state == wire.TaskRunning {
+		left = max(left-(c.now.Steady-p.Ran).Seconds(), limits.LeastLeft*j.EstimateS)
+	}
+	return left > (m.Recall - c.now.Steady).Seconds()
+}
+
 // ended takes in the end of an attempt. The outcome must be durable before the
 // worker may forget it; only a completion has an outcome that matters.
 func (c *Core) ended(m *workers.Machine, j *jobs.Job, id string, task int, t wire.TaskReport, cmds []wire.Command, may bool) []wire.Command {
@@ -269,8 +284,9 @@
 			c.log("info", "machine's lease is over", "machine", m.ID, "tasks", c.tasksOn(m.ID))
 			c.clearMachine(m.ID)
 		}
-		// Not after a takeover, when all that was launched before waits for them.
-		patient := many && !m.Spot && !c.missing(m) && t-m.Heard < limits.ManyLeases*c.pool.Lease
+		// Not after a takeover, when all that was launched before waits for them,
+		// nor when others are to be had: their tasks go on sooner there.
+		patient := many && !m.Spot && !c.missing(m) && c.fleet.Refused(fleet.Kind{Class: m.Class, Zone: m.Zone}) && t-m.Heard < limits.ManyLeases*c.pool.Lease
 		if !m.Deleting && !patient && c.silent(m, heard) && c.own.MayLaunch() {
 			if r := c.fleet.Know(m.ID, fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, m.Heard); r != nil && (r.Up || m.Lost || r.Listed == wire.MachineRunning || t-r.Since > c.bootTime(m.Class)) {
 				if m.Spot && m.Recall == 0 {
@@ -279,6 +295,9 @@
 				c.remove(m, "silent")
 			}
 		}
+		if m.Recall != 0 && !m.Deleting && t > m.Recall+limits.RecallSlack && m.Heard < m.Recall && c.own.MayLaunch() {
+			c.remove(m, "recalled")
+		}
 		// A faulty machine goes with what it runs, which would fail as well.
 		if m.Draining && !m.Deleting && m.Adopted && (m.Faulty || c.tasksOn(m.ID) == 0) && c.own.MayLaunch() && !c.holdsResults(m) {
 			c.remove(m, "drained")
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -276,7 +276,15 @@
 		return false
 	}
 	risk := c.fleet.SpotRisk(j.EstimateS)
-	return (j.DeadlineS > 0 && risk > limits.SafeRisk) || risk > limits.LongRisk
+	if (j.DeadlineS > 0 && risk > limits.SafeRisk) || risk > limits.LongRisk {
+		return true
+	}
+	// Guards against batches of a hundred long tasks of which all but one are in
+	// time: that one was lost with its machine and started over.
+	left, hopeful := c.left(j)
+	long := limits.EstimateError * j.EstimateS
+	redo := left >= 2*long+limits.RedoSlack.Seconds()
+	return hopeful && !redo && 1-math.Pow(1-risk, float64(j.Tasks-j.DoneCount)) > limits.LateRisk
 }
 
 // largest finds the largest unit that unfinished jobs may ask of each class.
@@ -357,7 +365,7 @@
 			continue
 		}
 		a := c.attempt(p.Machine.Class)
-		c.put(j, task, jobs.Place{Machine: p.Machine.ID, Attempt: a, State: jobs.Planned, At: c.now.Steady})
+		c.put(j, task, jobs.Place{Machine: p.Machine.ID, Attempt: a, State: jobs.Planned})
 		c.log("debug", "task placed", "job", j.ID, "task", task, "machine", p.Machine.ID, "attempt", a, "team", p.Team, "image", j.Image == "" || m.Images[j.Image])
 		if _, known := m.Images[j.Image]; !known && j.Image != "" {
 			m.Images[j.Image] = false
--- a/internal/controller/world_run_test.go
+++ b/internal/controller/world_run_test.go
@@ -364,10 +364,15 @@
 }
 
 // TestManyHangingMachinesAreKept: half of the ordinary machines hang for most of
-// their lease and go on; none is returned, and no task is lost.
+// their lease and go on while the cloud has no others; none is returned, and no task
+// is lost.
 func TestManyHangingMachinesAreKept(t *testing.T) {
 	for seed := uint64(1); seed <= 5; seed++ {
 		w := busyWorld(seed)
+		clear(w.cloud.left)
+		w.user("job-000900", map[string]any{"docket": "x", "crew": "blue", "form": "batch", "urgency": "urgent", "sheets": 40,
+			"cores": 8.0, "accelerators": 0.0, "ramGb": 4.0, "loaners": false, "reckonS": 20.0, "dueS": 50.0}, 20)
+		w.run(65 * time.Second)
 		var hung []*simMachine
 		for _, id := range sortedKeys(w.machines) {
 			if m := w.machines[id]; m.up && !m.gone && !m.kind.Spot && len(hung) < 4 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,6 +39,7 @@
 	Listed  string        // its status when last listed
 	SeenAt  time.Duration // when it was last listed
 	Up      bool          // its worker has reported
+	WasUp   bool          // it had reported to an earlier owner
 	Deleted bool          // asked to delete; goes with the 200
 	asking  bool
 	Idle    time.Duration // since when it has nothing to do; 0: busy
@@ -62,6 +63,8 @@
 	// Patience is how long a machine that this process has just learned of may
 	// take to report.
 	Patience time.Duration
+	// Round is within what time a machine that is up finds a new owner.
+	Round time.Duration
 	// Losses of spot machines and the hours that they ran, both fading, tell
 	// how often spot machines are taken back these days.
 	losses, hours float64
@@ -257,6 +260,12 @@
 // Hirable tells whether a kind was not refused a moment ago.
 func (f *Manager) Hirable(k Kind) bool { return f.now >= f.backoff[k] }
 
+// Refused tells whether the cloud lately had too few machines of a kind.
+func (f *Manager) Refused(k Kind) bool {
+	until, ok := f.backoff[k]
+	return ok && f.now < until-limits.HireBackoff+limits.RefusedFor
+}
+
 // Hire asks for machines.
 func (f *Manager) Hire(k Kind, n int) {
 	f.count++
@@ -389,11 +398,13 @@
 	}
 }
 
-// Booting counts the machines of a kind that are still to come up.
+// Booting counts the machines of a kind that are still to come up. Those that have
+// not found a new owner in time don't count: guards against a fleet of which half
+// was cut off when its owner ended, and for which nothing was rented meanwhile.
 func (f *Manager) Booting() map[Kind]int {
 	n := map[Kind]int{}
 	for _, r := range f.Rentals {
-		if !r.Up && !r.Deleted {
+		if !r.Up && !r.Deleted && !(r.WasUp && f.now-r.Known > f.Round) {
 			n[r.Kind]++
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -102,3 +102,21 @@
 		t.Errorf("risk %v an hour later, %v before", f.SpotRisk(60), calm)
 	}
 }
+
+// TestMissingMachinesAreNoSupply: what was up under an earlier owner and has not
+// found this one in time is no machine on its way; one that boots still is.
+func TestMissingMachinesAreNoSupply(t *testing.T) {
+	f := New(10, 4, "p", func(string, string, ...any) {})
+	f.Round = 8 * time.Second
+	step(t, f, time.Second)
+	k := Kind{Class: "c", Zone: "z"}
+	f.Know("i-1", k, time.Second).WasUp = true
+	f.Know("i-2", k, time.Second)
+	if n := f.Booting()[k]; n != 2 {
+		t.Errorf("%d on their way at first, want 2", n)
+	}
+	step(t, f, 10*time.Second)
+	if n := f.Booting()[k]; n != 1 {
+		t.Errorf("%d on their way after a round, want 1", n)
+	}
+}
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -72,7 +72,7 @@
 	Machine string
 	Attempt uint64
 	State   TaskState
-	At      time.Duration // when the attempt was placed
+	Ran     time.Duration // when it was first seen running; 0: not yet
 	Told    Told
 	Session uint64 // of the worker, if Ordered or Lost
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -141,8 +141,11 @@
 // Machines.
 const (
 	// SilentReports is how many report intervals (at the slowest pace) a machine
-	// may be silent before it is deleted to free its tasks.
+	// may be silent before it is deleted to free its tasks; at most one and
+	// SilentRetry, within which a worker whose report got no answer is back: it
+	// waits 4 s for the answer, a second for the next node, and half for the one named.
 	SilentReports = 3
+	SilentRetry   = 6 * time.Second
 	// SilentFloor is the least silence that counts, beyond a worker's change of node.
 	SilentFloor = 7 * time.Second
 	// TakeoverSlack, added to the slowest report interval, is how long a machine
@@ -163,10 +166,12 @@
 	TakeoverPause = time.Second
 	// ManyLeast and ManyPart are from how many, and what part, of the ordinary
 	// machines on a common silence is taken for a cut or a hang that may end;
-	// ManyLeases is how many leases it may last.
+	// ManyLeases is how many leases it may last. They are waited for only if the
+	// cloud refused a machine of their kind within RefusedFor.
 	ManyLeast  = 3
 	ManyPart   = 0.2
 	ManyLeases = 2
+	RefusedFor = 60 * time.Second
 	// BootFactor times the nominal boot time plus BootSlack: after that a
 	// booting machine is given up.
 	BootFactor = 2.0
@@ -186,6 +191,13 @@
 	// LongRisk is the same for tasks without a deadline: from here on one loss in
 	// eight costs more than the room that urgent tasks find elsewhere.
 	LongRisk = 0.12
+	// LateRisk is the chance that a job loses any of its tasks with spot machines from
+	// which it had better run on ordinary ones, if a lost task could not be redone in
+	// time. EstimateError is by how much tasks often run longer than estimated, and
+	// RedoSlack the time until a loss is noticed and its task runs again.
+	LateRisk      = 0.1
+	EstimateError = 1.3
+	RedoSlack     = 10 * time.Second
 	// RentHorizon is within what time work without a target, or past all of
 	// them, should be done: a machine is paid for a minute in any case.
 	RentHorizon = 60 * time.Second
@@ -247,6 +259,12 @@
 	// AttemptBits is the width of the counter below the term in an attempt
 	// number; terms up to 2^33 then stay below 2^53.
 	AttemptBits = 20
+	// RecallSlack is how long after the announced time a machine that was not heard
+	// since is taken for gone.
+	RecallSlack = time.Second
+	// LeastLeft is the part of its estimate that a task is reckoned to run on, however
+	// long it has run.
+	LeastLeft = 0.2
 	// DrainSpare is kept between a saving task's end and the machine's recall.
 	DrainSpare = 2 * time.Second
 )
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -188,7 +188,7 @@
 
 // SilentFor is how long a machine may be silent before it is given up.
 func (p *Pool) SilentFor() time.Duration {
-	return max(limits.SilentFloor, limits.SilentReports*p.Report*5/4)
+	return max(limits.SilentFloor, min(limits.SilentReports*p.Report*5/4, p.Report*5/4+limits.SilentRetry))
 }
 
 // Resolved tells whether it is known for certain what the machine holds.
