--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -76,7 +76,14 @@
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp4", addr)
 		},
-		MaxIdleConnsPerHost: conns, MaxConnsPerHost: conns, IdleConnTimeout: limits.UserIdle, DisableCompression: true}
+		MaxIdleConnsPerHost: conns, MaxConnsPerHost: conns, IdleConnTimeout: limits.ClientIdle, DisableCompression: true}
+}
+
+// idle is for how long a connection to this node may be without a request. Guards
+// against sockets used up by workers that left theirs behind in a cut and came back
+// on new ones, several times over.
+func (s *Server) idle() time.Duration {
+	return max(limits.UserIdle, time.Duration(limits.IdleReports*s.set.Cluster.Workers.ReportS*float64(time.Second)))
 }
 
 func (s *Server) now() Now {
@@ -104,7 +111,7 @@
 	defer bind.Close()
 	errs := make(chan error, 2)
 	server := &http.Server{Handler: s.handler(), ReadHeaderTimeout: limits.EdgeTimeout, ReadTimeout: 2 * limits.EdgeTimeout,
-		WriteTimeout: 3 * limits.EdgeTimeout, IdleTimeout: limits.UserIdle, MaxHeaderBytes: 16 << 10,
+		WriteTimeout: 3 * limits.EdgeTimeout, IdleTimeout: s.idle(), MaxHeaderBytes: 16 << 10,
 		ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
 	go func() { errs <- server.Serve(&countedListener{Listener: api, s: s}) }()
 	go s.servePeers(bind)
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -33,6 +33,7 @@
 	store    *simStore
 	cloud    *simCloud
 	machines map[string]*simMachine
+	created  []*simMachine // the machines in the order of their names
 	jobs     map[string]*simJob
 	broken   []string // rules broken
 	starts   int
@@ -58,6 +59,7 @@
 	txnOps                int
 	valueKB               float64
 	writeRPS              float64
+	rps, cloudRPS         float64 // 0: 150 and 3
 }
 
 type ev struct {
@@ -235,6 +237,9 @@
 	cl.Workers.ReportS, cl.Workers.LeaseS, cl.Workers.CancelS = n.w.cfg.report, n.w.cfg.lease, n.w.cfg.cancel
 	cl.State.RPS, cl.State.WriteRPS, cl.State.TxnOps, cl.State.ValueKB = 150, n.w.cfg.writeRPS, n.w.cfg.txnOps, n.w.cfg.valueKB
 	cl.Cloud.RPS, cl.Cloud.ListLagS = 3, 4
+	if n.w.cfg.rps > 0 {
+		cl.State.RPS, cl.Cloud.RPS = n.w.cfg.rps, n.w.cfg.cloudRPS
+	}
 	n.core = NewCore(set, &config.Operator{}, n.clock(), n.w.rng.Uint64()>>1|1)
 	life := n.life
 	var tick func()
@@ -690,6 +695,7 @@
 	c.left[k]--
 	m := &simMachine{w: c.w, id: fmt.Sprintf("i-%06d", c.count), kind: k, born: c.w.now, tasks: map[string]*simTask{}, session: 1}
 	c.w.machines[m.id] = m
+	c.w.created = append(c.w.created, m)
 	if !c.w.chance(0.03) { // a few never come up
 		c.w.after(c.w.between(2, 9), m.start)
 	}
@@ -700,6 +706,7 @@
 
 type simTask struct {
 	id      string
+	job     *simJob
 	attempt uint64
 	state   string
 	cause   string
@@ -789,6 +796,17 @@
 	})
 }
 
+// restart ends everything on the machine; its worker is back at once, with a new
+// session and no memory of tokens.
+func (m *simMachine) restart() {
+	if m.gone || !m.up {
+		return
+	}
+	m.tasks, m.order = map[string]*simTask{}, nil
+	m.session++
+	m.token, m.renewed, m.inFlight, m.nextAt = 0, m.w.now, false, m.w.now
+}
+
 func (m *simMachine) die() {
 	if !m.gone {
 		m.gone = true
@@ -893,11 +911,10 @@
 			cpu, mem = t.CPUs, t.MemoryGB
 		}
 	}
-	for id, t := range m.tasks {
+	for _, t := range m.tasks {
 		if t.state != wire.TaskEnded {
-			j := m.w.jobs[strings.Split(id, "/")[0]]
-			cpu -= j.spec["cores"].(float64)
-			mem -= j.spec["ramGb"].(float64)
+			cpu -= t.job.cores
+			mem -= t.job.spec["ramGb"].(float64)
 		}
 	}
 	return cpu, mem
@@ -927,7 +944,7 @@
 			w.break_("in_use", "%s launched again on %s", c.Task, m.id)
 			return
 		}
-		nt := &simTask{id: c.Task, attempt: c.Attempt, state: wire.TaskFetching}
+		nt := &simTask{id: c.Task, job: j, attempt: c.Attempt, state: wire.TaskFetching}
 		if t == nil {
 			m.order = append(m.order, c.Task)
 		}
@@ -937,7 +954,7 @@
 		}
 		cpu, mem := m.free()
 		m.tasks[c.Task] = nt
-		if cpu < j.spec["cores"].(float64) || mem < j.spec["ramGb"].(float64) {
+		if cpu < j.cores || mem < j.spec["ramGb"].(float64) {
 			nt.state, nt.cause = wire.TaskEnded, wire.CauseNoRoom
 			return
 		}
@@ -989,6 +1006,8 @@
 type simJob struct {
 	id        string
 	spec      map[string]any
+	team      string
+	cores     float64
 	tasks     int
 	run       float64
 	bad       bool
@@ -1003,7 +1022,7 @@
 
 func (w *world) user(id string, spec map[string]any, run float64) *simJob {
 	spec["id"] = id
-	j := &simJob{id: id, spec: spec, tasks: int(spec["sheets"].(int)), run: run, done: map[int]bool{}}
+	j := &simJob{id: id, spec: spec, team: spec["crew"].(string), cores: spec["cores"].(float64), tasks: int(spec["sheets"].(int)), run: run, done: map[int]bool{}}
 	w.jobs[id] = j
 	body := pack(spec)
 	var submit func()
@@ -1150,11 +1169,9 @@
 	if m.kind.Spot && j.spec["loaners"] != true {
 		w.break_("wrong_place", "%s on spot", t.id)
 	}
-	team := j.spec["crew"].(string)
 	cpus := 0.0
 	zones := map[string]int{}
-	for _, id := range sortedKeys(w.machines) {
-		x := w.machines[id]
+	for _, x := range w.created {
 		if x.gone || (x.hung && w.now-x.renewed > x.lease()) {
 			continue
 		}
@@ -1165,18 +1182,17 @@
 			if tid == t.id && x != m {
 				w.break_("ran_twice", "%s on %s and %s", tid, x.id, m.id)
 			}
-			xj := w.jobs[strings.Split(tid, "/")[0]]
-			if xj.spec["crew"] == team {
-				cpus += xj.spec["cores"].(float64)
+			if xt.job.team == j.team {
+				cpus += xt.job.cores
 			}
-			if xj == j {
+			if xt.job == j {
 				zones[x.kind.Zone]++
 			}
 		}
 	}
 	for _, ct := range w.cfg.teams {
-		if ct.Name == team && ct.CPUsMax > 0 && cpus > ct.CPUsMax+1e-6 {
-			w.break_("quota", "%s uses %.1f of %.1f", team, cpus, ct.CPUsMax)
+		if ct.Name == j.team && ct.CPUsMax > 0 && cpus > ct.CPUsMax+1e-6 {
+			w.break_("quota", "%s uses %.1f of %.1f", j.team, cpus, ct.CPUsMax)
 		}
 	}
 	if j.spec["oneZone"] == true && len(zones) > 1 {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -307,6 +307,11 @@
 	// SocketReserve is the part of max_sockets kept from users, for workers,
 	// probes and this node's own connections.
 	SocketReserve = 0.4
-	// UserIdle closes idle connections of users and workers.
-	UserIdle = 90 * time.Second
+	// UserIdle and IdleReports, report intervals, are when idle connections of users
+	// and workers are closed: users poll about every 5 s, and a worker that has not
+	// reported for two intervals comes back on another connection.
+	UserIdle    = 20 * time.Second
+	IdleReports = 2.5
+	// ClientIdle closes this node's own idle connections.
+	ClientIdle = 90 * time.Second
 )
