--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -276,7 +276,7 @@
 	for _, m := range c.pool.Machines {
 		heard = max(heard, m.Heard)
 	}
-	many := c.manySilent()
+	many, most := c.manySilent(), c.mostFound()
 	for _, m := range c.pool.Sorted() {
 		if !m.Lost && c.pool.Expired(m, t) {
 			m.Lost = true
@@ -287,7 +287,7 @@
 		// Not after a takeover, when all that was launched before waits for them,
 		// nor when others are to be had: their tasks go on sooner there.
 		patient := many && !m.Spot && !c.missing(m) && c.fleet.Refused(fleet.Kind{Class: m.Class, Zone: m.Zone}) && t-m.Heard < limits.ManyLeases*c.pool.Lease
-		if !m.Deleting && !patient && c.silent(m, heard) && c.own.MayLaunch() {
+		if !m.Deleting && !patient && c.silent(m, heard, most) && c.own.MayLaunch() {
 			if r := c.fleet.Know(m.ID, fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, m.Heard); r != nil && (r.Up || m.Lost || r.Listed == wire.MachineRunning || t-r.Since > c.bootTime(m.Class)) {
 				if m.Spot && m.Recall == 0 {
 					c.fleet.SpotLost()
@@ -380,11 +380,25 @@
 	return silent >= limits.ManyLeast && float64(silent) > limits.ManyPart*float64(all)
 }
 
+// mostFound tells whether most machines that an earlier owner had found this one.
+func (c *Core) mostFound() bool {
+	all, found := 0, 0
+	for id, m := range c.pool.Machines {
+		if c.roster[id].Up {
+			all++
+			if m.Term != 0 {
+				found++
+			}
+		}
+	}
+	return float64(found) >= limits.TakeoverHeard*float64(all)
+}
+
 // silent tells whether a machine is given up for its silence: a deletion proves
 // it empty sooner than its lease would. Not when all are silent, for then the
 // fault is ours. After a takeover the jobs of an earlier owner wait for every
-// machine, so those that did not find the new owner with the others go sooner.
-func (c *Core) silent(m *workers.Machine, heard time.Duration) bool {
+// machine, so those that did not find the new owner with most others go sooner.
+func (c *Core) silent(m *workers.Machine, heard time.Duration, most bool) bool {
 	t := c.now.Steady
 	if t-heard >= 2*c.pool.Report {
 		return false
@@ -396,22 +410,13 @@
 		if t-c.newcomer < limits.TakeoverPause {
 			return false
 		}
-		all, found := 0, 0
-		for id, x := range c.pool.Machines {
-			if c.roster[id].Up {
-				all++
-				if x.Term != 0 {
-					found++
-				}
-			}
-		}
-		return float64(found) >= limits.TakeoverHeard*float64(all)
+		return most
 	}
 	return c.silence(m) > c.pool.SilentFor()
 }
 
 // missing tells whether a takeover still waits for a machine.
-func (c *Core) missing(m *workers.Machine) bool { return c.roster[m.ID].Up && !m.Resolved() }
+func (c *Core) missing(m *workers.Machine) bool { return !m.Resolved() && c.roster[m.ID].Up }
 
 // holdsResults tells whether the machine reports completions that are not
 // durable yet: they would have to be run again.
