--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -150,6 +150,9 @@
 	// lastReport is when a worker's report last counted, backAt when one last came
 	// after a time without any, and newcomer when a machine last found this owner.
 	lastReport, backAt, newcomer time.Duration
+	// lastKnock is when a report for our classes last arrived, answered or not, and
+	// desertedAt when this node last handed its classes over.
+	lastKnock, desertedAt time.Duration
 
 	regroup bool // what decides on Active and Frozen may have changed
 	// reported is room for sync's look at one report.
@@ -275,6 +278,7 @@
 	c.own.Tick(t, c.fleet.Classes(), c.demand)
 	if c.deserted() {
 		c.own.HandOver()
+		c.desertedAt = t
 	}
 	c.followClaims()
 	c.manageMachines()
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -23,6 +23,7 @@
 		}
 		return
 	}
+	c.lastKnock = c.now.Steady
 	// A deleted machine's late report must not bring it back.
 	if !c.own.MayAnswer() || c.fleet.IsGone(r.Machine) || r.Machine == "" {
 		reply(503, nil)
@@ -339,15 +340,20 @@
 // it is cut off from them, and keeps its classes all the same as long as it
 // reaches the state service. Guards against a day on which all machines lost their
 // tasks that way. Whoever was never heard as owner waits for a lease, so that
-// machines that are all gone don't send the classes round and round.
+// machines that are all gone don't send the classes round and round; less if it
+// was deserted a moment ago and got the classes back for want of another node.
 func (c *Core) deserted() bool {
 	if len(c.active) == 0 || !c.own.LeaseValid() {
 		return false
 	}
-	last, wait := c.lastReport, c.quiet()
+	// What is turned away, in an outage without promises, has arrived all the same.
+	last, wait := c.lastKnock, c.quiet()
 	for class := range c.active {
 		if cl := c.own.Claims()[class]; cl != nil && cl.Since > last {
 			last, wait = cl.Since, c.pool.Bound(0)
+			if c.desertedAt > 0 && c.now.Steady-c.desertedAt < 2*c.pool.Lease {
+				wait = c.quiet() + limits.SilentRetry
+			}
 		}
 	}
 	if c.now.Steady-last <= wait {
--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -321,7 +321,7 @@
 	})
 	if _, lost := play(standardWorld(), 1, func(c *Core) {
 		if len(c.active) > 0 {
-			c.lastReport = c.now.Steady
+			c.lastKnock = c.now.Steady
 		}
 	}); lost == 0 {
 		t.Error("a core that takes itself for heard lost nothing")
@@ -362,3 +362,37 @@
 		t.Error("a core that blames the machines returned none")
 	}
 }
+
+// TestOutageIsNoDesertion: in an outage of the state service in which the peers
+// can't be reached either the owner must not answer its workers. That they were not
+// heard then is no reason to hand them over when it is over.
+func TestOutageIsNoDesertion(t *testing.T) {
+	withNodes(t, 2, func(t *testing.T, cfg worldConfig, seed uint64) {
+		w := newWorld(seed, cfg)
+		steadyJobs(w, 8)
+		w.run(50 * time.Second)
+		apart := func(on bool) {
+			for _, a := range w.nodes {
+				for _, b := range w.nodes[a.idx+1:] {
+					w.setCut(a.label, b.label, on)
+				}
+			}
+			w.store.setOutage(on)
+		}
+		apart(true)
+		w.run(90 * time.Second)
+		if w.owner() != nil {
+			t.Error("an owner without lease and promises may launch")
+		}
+		apart(false)
+		w.run(110 * time.Second)
+		for _, n := range w.nodes {
+			if n.core.desertedAt > 0 {
+				t.Errorf("%s handed over", n.label)
+			}
+		}
+		w.run(300 * time.Second)
+		w.mustKeepRules(t)
+		w.mustFinish(t)
+	})
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -373,26 +373,21 @@
 	if !n.LeaseValid() {
 		return
 	}
+	var handed []string
 	for class, r := range n.owns {
 		if !n.mine(r) || n.claims[class] != nil {
 			continue
 		}
-		release := wire.Txn{
-			Guards: []wire.Guard{{Key: keyOwn + classKey(class), Version: r.version}},
-			Then:   []wire.Op{{Remove: keyOwn + classKey(class)}}}
 		if n.maps[class].Node != n.Name {
-			n.try(keyOwn+class, release)
+			n.try(keyOwn+class, wire.Txn{
+				Guards: []wire.Guard{{Key: keyOwn + classKey(class), Version: r.version}},
+				Then:   []wire.Op{{Remove: keyOwn + classKey(class)}}})
 			continue
 		}
 		// A term that was handed over is never acted on again, whatever came of
 		// the transaction: orders of ours may still be carried out under it.
 		if n.leaving[class] == r.version {
-			if next := n.successor(); next != "" {
-				key := keyMap + classKey(class)
-				release.Guards = append(release.Guards, wire.Guard{Key: key, Version: n.maps[class].version})
-				release.Then = append(release.Then, wire.Op{Key: key, Value: holder{Node: next, Handed: true}})
-			}
-			n.try(keyOwn+class, release)
+			handed = append(handed, class)
 			continue
 		}
 		// A peer that holds our promise, or may hold one of an earlier life
@@ -403,6 +398,24 @@
 		n.claims[class] = &Claim{Class: class, Term: r.version, Since: n.now}
 		n.log("info", "class taken over", "class", class, "term", r.version)
 	}
+	n.release(handed)
+}
+
+// release writes the successor of classes that were handed over and ends our hold
+// of them, in one transaction if it holds them all, so that they stay together.
+func (n *Node) release(classes []string) {
+	next := n.successor()
+	if len(classes) == 0 || next == "" {
+		return
+	}
+	sort.Strings(classes)
+	var t wire.Txn
+	for _, class := range classes[:min(len(classes), max(1, n.store.MaxWrites()/2))] {
+		own, key := keyOwn+classKey(class), keyMap+classKey(class)
+		t.Guards = append(t.Guards, wire.Guard{Key: own, Version: n.owns[class].version}, wire.Guard{Key: key, Version: n.maps[class].version})
+		t.Then = append(t.Then, wire.Op{Remove: own}, wire.Op{Key: key, Value: holder{Node: next, Handed: true}})
+	}
+	n.try("release", t)
 }
 
 // HandOver gives all classes to another node, for an owner that its workers
