--- a/internal/controller/troubles_test.go
+++ b/internal/controller/troubles_test.go
@@ -377,13 +377,15 @@
 					w.setCut(a.label, b.label, on)
 				}
 			}
-			w.store.setOutage(on)
 		}
 		apart(true)
+		w.store.setOutage(true)
 		w.run(90 * time.Second)
 		if w.owner() != nil {
 			t.Error("an owner without lease and promises may launch")
 		}
+		w.store.setOutage(false)
+		w.run(95 * time.Second)
 		apart(false)
 		w.run(110 * time.Second)
 		for _, n := range w.nodes {
