--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -796,14 +796,17 @@
 	})
 }
 
-// restart ends everything on the machine; its worker is back at once, with a new
-// session and no memory of tokens.
+// restart ends everything on the machine; its worker is back at once, without memory
+// of tokens and with a new session, or with none of its count of messages either.
 func (m *simMachine) restart() {
 	if m.gone || !m.up {
 		return
 	}
 	m.tasks, m.order = map[string]*simTask{}, nil
 	m.session++
+	if m.w.chance(0.2) {
+		m.session, m.seq = 1, 0
+	}
 	m.token, m.renewed, m.inFlight, m.nextAt = 0, m.w.now, false, m.w.now
 }
 
