--- a/internal/allocation/allocation.go
+++ b/internal/allocation/allocation.go
@@ -63,11 +63,15 @@
 	// without the image has to fetch first; 0: no matter.
 	Within, ImageGB float64
 	Overdue         bool // has waited too long to begin: Hold keeps room for it
+	Urgent          bool // Return asks for room for it beyond its team's guarantee, too
 
 	at   *Machine // where Run put the last task of it
 	rank int
 }
 
+// Keep leaves a machine to one job.
+func (m *Machine) Keep(job string) { m.held = job }
+
 func (u *Unit) allows(m *Machine) bool {
 	if (m.held != "" && m.held != u.Job) || !u.Classes[m.Class] || (m.Spot && !u.Spot) || (u.Zone != "" && u.Zone != m.Zone) || u.Avoid[m.ID] {
 		return false
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -162,6 +162,9 @@
 	// a single report frees; nil when it may be wrong.
 	offer     *offer
 	nextOffer time.Duration
+	// claimed are machines on which tasks end to make room for others.
+	claimed    map[string]*claimed
+	nextClaims time.Duration
 	// orders are those under way; touched are machines with new plans.
 	orders    map[uint64]*order
 	lastOrder uint64
@@ -190,7 +193,7 @@
 // NewCore makes the state machine. random names this life of the process.
 func NewCore(set *config.Settings, ops *config.Operator, now Now, random uint64) *Core {
 	c := &Core{set: set, ops: ops, now: now, teams: map[string]*config.Team{},
-		active: map[string]uint64{}, reported: map[attempt]bool{}, numbers: map[uint64]bool{}, orders: map[uint64]*order{}, on: map[string]*host{}, booked: map[string]map[string]booking{}, roster: map[string]rosterEntry{},
+		active: map[string]uint64{}, reported: map[attempt]bool{}, numbers: map[uint64]bool{}, orders: map[uint64]*order{}, claimed: map[string]*claimed{}, on: map[string]*host{}, booked: map[string]map[string]booking{}, roster: map[string]rosterEntry{},
 		told: map[string][2]int{}, relief: map[string]bool{}, typesSaved: map[string]bool{}, recorded: map[string]bool{}, waiting: map[string]bool{}}
 	for i := range set.Cluster.Teams {
 		c.teams[set.Cluster.Teams[i].Name] = &set.Cluster.Teams[i]
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -121,7 +121,7 @@
 			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt})
 		case m.Recall != 0 && c.hopeless(m, j, task, t.State):
 			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt})
-		case t.State == wire.TaskRunning && c.mustSave(m, j):
+		case t.State == wire.TaskRunning && (c.mustSave(m, j) || c.mustReturn(m.ID, id, t.Attempt)):
 			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt, GraceS: j.SaveS + 1})
 		}
 	}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -242,7 +242,7 @@
 		}
 		u := &allocation.Unit{Job: j.ID, Need: need(j), Count: n, Image: j.Image, Classes: j.TypeSet, Shape: j.Shape, Zone: j.Zone, Spot: j.Spot,
 			OneZone: j.OneZone, Spread: j.Spread, Tasks: j.Tasks, Within: c.startWithin(j), ImageGB: j.ImageGB,
-			Safe: c.safe(j)}
+			Safe: c.safe(j), Urgent: j.Urgency >= wire.UrgencyUrgent}
 		if j.OneZone || j.Spread {
 			u.ByZone = map[string]int{}
 			for _, p := range j.Placed {
@@ -327,7 +327,9 @@
 	o := &offer{teams: c.claims(false, unseen), capacity: capacity, largest: c.largest()}
 	c.offer = o
 	o.held = allocation.Hold(o.teams, machines, 1+int(limits.HoldPart*float64(len(machines))))
+	pending := c.keepClaims(machines, o.held)
 	c.run(o, machines)
+	c.claimLoans(o, machines, pending)
 	c.sendOrders()
 }
 
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -128,6 +128,9 @@
 // Waiting counts the tasks that neither are done nor have a place.
 func (j *Job) Waiting() int { return j.Tasks - j.DoneCount - len(j.Placed) }
 
+// PlacedTasks lists the tasks that have a place, in order.
+func (j *Job) PlacedTasks() []int { return slices.Sorted(maps.Keys(j.Placed)) }
+
 // NextTask returns the lowest waiting task, or -1.
 func (j *Job) NextTask() int {
 	for ; j.scan < j.Tasks; j.scan++ {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -279,6 +279,22 @@
 	CrowdedFor = 120 * time.Second
 )
 
+// What is borrowed beyond a guarantee and must be returned.
+const (
+	// ClaimEvery spaces the looks for what has to be returned: a start within a
+	// guarantee may take some seconds.
+	ClaimEvery = 500 * time.Millisecond
+	// ClaimPart of the machines, beyond one, is claimed at one look at most, so that
+	// work which is over by itself in a moment is not all stopped.
+	ClaimPart = 0.1
+	// ClaimSlack is how long, beyond two reports and the saving, the room of a
+	// machine is kept for the job that waits for it.
+	ClaimSlack = 3 * time.Second
+	// LoanLeast is how long a task runs at least before its room is claimed: the
+	// aims take a start that is undone sooner for none.
+	LoanLeast = 30 * time.Second
+)
+
 // Starvation: even in a crowd every job begins within four minutes.
 const (
 	// BeginWithin is from what age on a job that has not begun goes first, with up
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -8,8 +8,15 @@
 	"umberpaddle/internal/limits"
 )
 
-// Urgency ranks, highest first.
-var urgencies = map[string]int{"production": 3, "urgent": 2, "standard": 1, "low": 0}
+// Urgency ranks.
+const (
+	UrgencyLow = iota
+	UrgencyStandard
+	UrgencyUrgent
+	UrgencyProduction
+)
+
+var urgencies = map[string]int{"production": UrgencyProduction, "urgent": UrgencyUrgent, "standard": UrgencyStandard, "low": UrgencyLow}
 
 var jobID = regexp.MustCompile(`^job-[0-9]{1,18}$`)
 
