Teams without a guarantee take what the others leave

Cause: beyond the guarantees the lowest share decided, and a guest with nothing but long tasks had the lowest for minutes. Ruled out: the order within a team (indice-actas was at the head of its team and fitted nowhere).

--- a/internal/allocation/allocation.go
+++ b/internal/allocation/allocation.go
@@ -171,7 +171,7 @@
 	// does a larger unit that may use the same machines.
 	failed := map[string][]Res{}
 	for {
-		best, bestIn := -1, false
+		best, bestIn := -1, 0
 		for i, t := range teams {
 			s := &st[i]
 			for s.next < len(t.Units) && (t.Units[s.next].Count <= 0 || !t.underLimit(s.total, t.Units[s.next].Need) || t.Units[s.next].hopeless(failed)) {
@@ -180,8 +180,14 @@
 			if s.next >= len(t.Units) {
 				continue
 			}
-			in := t.guaranteed(s.total, t.Units[s.next].Need)
-			if best < 0 || (in && !bestIn) || (in == bestIn && s.share < st[best].share) {
+			in := 0
+			switch {
+			case t.guaranteed(s.total, t.Units[s.next].Need):
+				in = 2
+			case t.Guarantee != (Res{}):
+				in = 1
+			}
+			if best < 0 || in > bestIn || (in == bestIn && s.share < st[best].share) {
 				best, bestIn = i, in
 			}
 		}
