Questions about jobs leave requests to submissions

Cause: with some hundred jobs open every node spent its part of the state service's requests on its users' questions, one or two a transaction, and submissions queued behind them (found with a temporary log line; nodes that own nothing were the slow ones; the budget of changes was free). Questions now have a priority of their own and leave 30% of the saved-up requests; while they wait more of them share a transaction.

--- a/internal/jobs/users.go
+++ b/internal/jobs/users.go
@@ -246,7 +246,7 @@
 		return
 	}
 	b.asking = true
-	b.store.Txn(statestore.User, limits.PollWait, t, func(r statestore.Reply) {
+	b.store.Txn(statestore.Query, limits.PollWait, t, func(r statestore.Reply) {
 		b.asking = false
 		var tr wire.TxnReply
 		if (r.Status != statestore.OK && r.Status != statestore.Conflict) || wire.Decode(r.Body, &tr) != nil {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -88,6 +88,9 @@
 	// machines and done bits leave to what users wait for.
 	RosterReserve   = 0.2
 	ProgressReserve = 0.5
+	// QueryReserve is the part of the saved-up requests that questions leave to
+	// submissions and to what the owner has to write.
+	QueryReserve = 0.3
 	// PackFill is how full a key with many records gets, as a part of the largest
 	// value; PackMost, bytes, bounds what one record's change sends again, and
 	// PackTxn the records of one transaction, which may have 64 KiB.
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -18,16 +18,22 @@
 // Priorities, from the first served to the last.
 const (
 	Lease    Priority = iota // renewals and claims: without them nothing is allowed
-	User                     // submissions, cancellations and queries
+	User                     // submissions and cancellations
 	Finish                   // completions
 	Roster                   // machines that wait to be used
+	Query                    // questions about jobs: many go together while they wait
 	Progress                 // done bits, clean-up
 	priorities
 )
 
 // reserve is the part of the saved-up changes that a priority leaves to those
 // before it: otherwise a submission waits for what a batch has just used up.
-var reserve = [priorities]float64{Roster: limits.RosterReserve, Progress: limits.ProgressReserve}
+// requestReserve is the same for requests: guards against submissions that queue
+// behind the questions of users who ask many times as often.
+var (
+	reserve        = [priorities]float64{Roster: limits.RosterReserve, Progress: limits.ProgressReserve}
+	requestReserve = [priorities]float64{Query: limits.QueryReserve}
+)
 
 // Status of an answer, beyond the HTTP codes: NoAnswer means the request may
 // have been executed, or may be executed later.
@@ -208,7 +214,7 @@
 		// A transaction larger than the burst could wait for ever: a full
 		// bucket lets it go and takes on the debt.
 		need := min(float64(r.writes)+s.writes.most*reserve[p], s.writes.most)
-		if !urgent && (s.now < s.pause || len(s.flights) >= limits.StoreInFlight || s.reqs.level < 1 || (r.writes > 0 && s.writes.level < need)) {
+		if !urgent && (s.now < s.pause || len(s.flights) >= limits.StoreInFlight || s.reqs.level < 1+s.reqs.most*requestReserve[p] || (r.writes > 0 && s.writes.level < need)) {
 			kept = append(kept, q[i:]...)
 			break
 		}
