--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -70,6 +70,9 @@
 	// WatchHold is how long a watch stays open without news; it also bounds for
 	// how long a watch that went silent stays unnoticed.
 	WatchHold = 5 * time.Second
+	// WatchPart of a node's requests may go into watches: each change of any key ends
+	// one, and what changes until the next comes with it.
+	WatchPart = 0.3
 	// StoreInFlight bounds the requests at the state service at one time.
 	StoreInFlight = 12
 	// StoreQueue bounds the waiting requests; beyond it the stages before hold back.
--- a/internal/statestore/mirror.go
+++ b/internal/statestore/mirror.go
@@ -35,6 +35,7 @@
 	Loaded   bool
 	busy     bool
 	retryAt  time.Duration
+	openAt   time.Duration // no new watch before this
 	load     *loading
 	changes  []Change
 }
@@ -81,17 +82,21 @@
 }
 
 func (m *Mirror) tick() {
-	if m.busy || m.s.now < m.retryAt {
+	watching := m.Loaded && m.load == nil
+	if m.busy || m.s.now < m.retryAt || (watching && m.s.now < m.openAt) {
 		return
 	}
 	m.busy = true
-	if !m.Loaded || m.load != nil {
+	if !watching {
 		if m.load == nil {
 			m.load = &loading{seen: map[string]bool{}}
 		}
 		m.s.List(Lease, Root, m.load.since, m.listed)
 		return
 	}
+	// Guards against watches that used up the requests of a node: each change of
+	// any key ends one, and there may be more changes than this node has requests.
+	m.openAt = m.s.now + time.Duration(float64(time.Second)/(limits.WatchPart*m.s.reqs.rate))
 	hold := limits.WatchHold
 	path := fmt.Sprintf("/watch?starts=%s&since=%d&holdMs=%d", url.QueryEscape(Root), m.Revision, hold.Milliseconds())
 	m.s.reqs.level--
