--- a/internal/allocation/loan.go
+++ b/internal/allocation/loan.go
@@ -41,9 +41,10 @@
 	for _, t := range teams {
 		totals[t.Name], guarantees[t.Name] = t.total(), t.Guarantee
 	}
-	// beyond tells whether a team still runs beyond its guarantee.
-	beyond := func(team string) bool {
-		g, b := guarantees[team], totals[team]
+	// beyond tells whether a team still runs beyond its guarantee without some of
+	// its tasks.
+	beyond := func(team string, without Res) bool {
+		g, b := guarantees[team], totals[team].Add(without, -1)
 		return b.CPUs > g.CPUs+eps || b.GPUs > g.GPUs+eps
 	}
 	var out []Claim
@@ -61,8 +62,8 @@
 					pending[u.Job]--
 					continue
 				}
-				c, ok := claim(u, machines, byMachine, func(l Loan) bool {
-					return l.Team != t.Name && beyond(l.Team) && (in || l.Low)
+				c, ok := claim(u, machines, byMachine, func(l Loan, taken Res) bool {
+					return l.Team != t.Name && beyond(l.Team, taken) && (in || l.Low)
 				})
 				if !ok {
 					break
@@ -78,8 +79,9 @@
 	return out
 }
 
-// claim chooses the machine on which the fewest loans have to end for a unit.
-func claim(u *Unit, machines []*Machine, loans map[*Machine][]Loan, may func(Loan) bool) (Claim, bool) {
+// claim chooses the machine on which the fewest loans have to end for a unit. may
+// tells whether a loan may be taken after others of its team.
+func claim(u *Unit, machines []*Machine, loans map[*Machine][]Loan, may func(l Loan, taken Res) bool) (Claim, bool) {
 	best, least := Claim{}, math.Inf(1)
 	for _, m := range machines {
 		if len(loans[m]) == 0 || !u.Need.Fits(m.Size) || !u.allows(m) {
@@ -87,13 +89,15 @@
 		}
 		free, cost := m.Free, 0.0
 		var take []Loan
+		taken := map[string]Res{}
 		list := loans[m]
 		sort.SliceStable(list, func(a, b int) bool { return list[a].Need.CPUs > list[b].Need.CPUs })
 		for _, l := range list {
 			if u.Need.Fits(free) {
 				break
 			}
-			if may(l) {
+			if may(l, taken[l.Team]) {
+				taken[l.Team] = taken[l.Team].Add(l.Need, 1)
 				free, cost = free.Add(l.Need, 1), cost+l.Need.CPUs
 				take = append(take, l)
 			}
