--- a/internal/allocation/allocation.go
+++ b/internal/allocation/allocation.go
@@ -63,6 +63,7 @@
 	// without the image has to fetch first; 0: no matter.
 	Within, ImageGB float64
 	Overdue         bool // has waited too long to begin: Hold keeps room for it
+	Low             bool // of the lowest priority
 	Urgent          bool // Return asks for room for it beyond its team's guarantee, too
 
 	at   *Machine // where Run put the last task of it
@@ -119,6 +120,21 @@
 	return total.CPUs+need.CPUs <= t.Guarantee.CPUs+eps && (need.GPUs <= 0 || total.GPUs+need.GPUs <= t.Guarantee.GPUs+eps)
 }
 
+// rank tells what comes before the share: what is within a guarantee; then teams that
+// have one; then others; and low work of these last. Teams without a guarantee take
+// what is left, and low work does where nobody has one.
+func (t *Team) rank(total Res, u *Unit) int {
+	switch {
+	case t.guaranteed(total, u.Need):
+		return 3
+	case t.Guarantee != (Res{}):
+		return 2
+	case !u.Low:
+		return 1
+	}
+	return 0
+}
+
 // Share is the team's dominant share: its largest booked part of any resource
 // of any class (paper, equation 12, with booked amounts for x*d).
 func Share(booked, capacity map[string]Res) float64 {
@@ -149,7 +165,7 @@
 // Booked, Count and ByZone as it goes.
 // A team whose next unit fits nowhere goes on with its next job of another
 // shape; with none left it is skipped. Teams below their guarantee come first:
-// the plain lowest share could leave them behind for want of capacity.
+// the plain lowest share could leave them behind for want of capacity. See rank.
 func Run(teams []*Team, machines []*Machine, capacity, largest map[string]Res) []Placement {
 	var out []Placement
 	type state struct {
@@ -180,13 +196,7 @@
 			if s.next >= len(t.Units) {
 				continue
 			}
-			in := 0
-			switch {
-			case t.guaranteed(s.total, t.Units[s.next].Need):
-				in = 2
-			case t.Guarantee != (Res{}):
-				in = 1
-			}
+			in := t.rank(s.total, t.Units[s.next])
 			if best < 0 || in > bestIn || (in == bestIn && s.share < st[best].share) {
 				best, bestIn = i, in
 			}
--- a/internal/allocation/allocation_test.go
+++ b/internal/allocation/allocation_test.go
@@ -71,6 +71,18 @@
 	}
 }
 
+// TestLowWorkTakesWhatIsLeft: the same where no team has a guarantee, for work of the
+// lowest priority; among other work the lowest share decides.
+func TestLowWorkTakesWhatIsLeft(t *testing.T) {
+	a := &Team{Name: "a", Booked: map[string]Res{"c": {CPUs: 8}}, Units: []*Unit{unit("ja", 3, 2)}}
+	guest := &Team{Name: "guest", Booked: map[string]Res{}, Units: []*Unit{unit("jg", 1, 1), unit("jl", 1, 20)}}
+	guest.Units[1].Low = true
+	ps := Run([]*Team{guest, a}, []*Machine{machine("m", 9)}, map[string]Res{"c": {CPUs: 17, Memory: 100}}, nil)
+	if len(ps) != 5 || ps[0].Unit.Job != "jg" || ps[1].Team != "a" || ps[2].Team != "a" || count(ps, "guest") != 3 {
+		t.Errorf("%d placements, a got %d, the guest %d", len(ps), count(ps, "a"), count(ps, "guest"))
+	}
+}
+
 // TestReturnTakesOnlyWhatIsLent draws teams, loans and units: a claim makes its unit
 // fit, comes from other teams, leaves each of them its guarantee, and is made only
 // for units within a guarantee or, from low loans, for urgent ones; units that room
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -353,21 +353,24 @@
 func (c *Core) share() {
 	owners := c.own.Owners()
 	n := float64(len(c.set.Others) + 1)
-	weight := func(name string) float64 {
-		if owners[name] {
-			return limits.OwnerWeight
-		}
-		return 1
-	}
-	sum := weight(c.set.Label)
-	for _, p := range c.set.Others {
-		sum += weight(p.Label)
-	}
 	if len(owners) == 0 {
-		c.store.Share(1 / n)
+		c.store.Share(1/n, 1/n)
 		return
 	}
-	c.store.Share(weight(c.set.Label) / sum)
+	part := func(weight float64) float64 {
+		of := func(name string) float64 {
+			if owners[name] {
+				return weight
+			}
+			return 1
+		}
+		sum := of(c.set.Label)
+		for _, p := range c.set.Others {
+			sum += of(p.Label)
+		}
+		return of(c.set.Label) / sum
+	}
+	c.store.Share(part(limits.OwnerWeight), part(limits.OwnerWrites))
 }
 
 // demand tells which classes each team's unfinished jobs may use. A cancelled
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -242,7 +242,7 @@
 		}
 		u := &allocation.Unit{Job: j.ID, Need: need(j), Count: n, Image: j.Image, Classes: j.TypeSet, Shape: j.Shape, Zone: j.Zone, Spot: j.Spot,
 			OneZone: j.OneZone, Spread: j.Spread, Tasks: j.Tasks, Within: c.startWithin(j), ImageGB: j.ImageGB,
-			Safe: c.safe(j), Urgent: j.Urgency >= wire.UrgencyUrgent}
+			Safe: c.safe(j), Urgent: j.Urgency >= wire.UrgencyUrgent, Low: j.Urgency == wire.UrgencyLow}
 		if j.OneZone || j.Spread {
 			u.ByZone = map[string]int{}
 			for _, p := range j.Placed {
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -205,7 +205,10 @@
 	orphans   map[string]bool // keys of done sets without a job
 	sweeping  bool
 	done      *statestore.Pack
-	stray     map[string]bool // records without a job
+	// closed are jobs that are over and whose records go with the next clean-up.
+	closed   map[string]*Job
+	cleaning bool
+	stray    map[string]bool // records without a job
 
 	// guard gives the condition under which this node's writes as owner hold.
 	guard func(class string) wire.Guard
@@ -214,7 +217,7 @@
 // New makes an empty book.
 func New(store *statestore.Store, guard func(class string) wire.Guard, log func(string, string, ...any)) *Book {
 	b := &Book{store: store, guard: guard, log: log, Open: map[string]*Job{}, finals: map[string]final{}, byRef: map[string]*submit{},
-		flushAt: map[string]time.Duration{}, orphans: map[string]bool{}, stray: map[string]bool{}}
+		flushAt: map[string]time.Duration{}, orphans: map[string]bool{}, stray: map[string]bool{}, closed: map[string]*Job{}}
 	b.done = statestore.NewPack(store, keyDone, guard, b.applyDone)
 	return b
 }
@@ -224,7 +227,7 @@
 	delete(b.stray, id)
 	j := b.Open[id]
 	var text string
-	if gone || wire.Decode(value, &text) != nil {
+	if gone || wire.Decode(value, &text) != nil || b.closed[id] != nil {
 		return
 	}
 	if j == nil {
@@ -265,6 +268,12 @@
 				}
 			}
 			b.drop(id)
+			if j := b.closed[id]; j != nil {
+				delete(b.closed, id)
+				if j.launched {
+					b.stray[id] = true
+				}
+			}
 			return
 		}
 		spec := &wire.Job{}
@@ -272,7 +281,7 @@
 			b.log("error", "unreadable job record", "job", id)
 			return
 		}
-		if b.Open[id] != nil {
+		if b.Open[id] != nil || b.closed[id] != nil {
 			return
 		}
 		j := &Job{Job: spec, version: c.Entry.Version, Done: newBits(spec.Tasks), durable: newBits(spec.Tasks),
@@ -375,7 +384,13 @@
 	case j.few():
 		if !j.asked {
 			j.asked = true
-			b.done.Set(j.Class0, j.ID, j.Done.chunk(0), 0)
+			// Guards against jobs that waited for one change each, one after the other,
+			// when many small ones came.
+			wait := time.Duration(0)
+			if b.store.WriteWait(statestore.Finish) > 0 {
+				wait = limits.PrepareWait
+			}
+			b.done.Set(j.Class0, j.ID, j.Done.chunk(0), wait)
 		}
 	case !j.writing:
 		b.writePart(j, 0, statestore.Roster)
@@ -426,6 +441,7 @@
 		b.sweep()
 		b.nextFlush = b.now + limits.BatchEvery
 	}
+	b.clean()
 	defer b.done.Write()
 	for _, id := range b.ids() {
 		j := b.Open[id]
@@ -476,13 +492,18 @@
 		t.Guards = append(t.Guards, wire.Guard{Key: keyFinal + id})
 		t.Then = append(t.Then, wire.Op{Key: keyFinal + id, Value: final{Status: status, Done: j.DoneCount}})
 	}
-	t.Then = append(t.Then, wire.Op{Remove: keyOpen + id})
+	// The record of a small job goes later, with others': a completion costs one
+	// change while changes are scarce. Until then its done set stays, too.
+	later := status != "" && j.few() && !j.Cancelled
+	if !later {
+		t.Then = append(t.Then, wire.Op{Remove: keyOpen + id})
+	}
 	if j.Cancelled {
 		t.Then = append(t.Then, wire.Op{Remove: keyCancel + id})
 	}
 	// Parts that don't fit into the transaction are swept later: without the
 	// job they mean nothing.
-	for k := 0; k*limits.ChunkTasks < j.Tasks; k++ {
+	for k := 0; !later && k*limits.ChunkTasks < j.Tasks; k++ {
 		if _, ok := j.parts[k]; ok && len(t.Then) < b.store.TxnOps {
 			t.Then = append(t.Then, wire.Op{Remove: keyProgress + id + "/" + strconv.Itoa(k)})
 		}
@@ -497,11 +518,60 @@
 				b.log("info", "job over", "job", id, "class", j.Class, "status", status, "tasks", j.Tasks,
 					"tookS", math.Round(10*(b.unix-j.SubmitUnix))/10, "dueS", j.DeadlineS, "estimateS", j.EstimateS)
 			}
-			b.drop(id)
+			if later {
+				b.settled(j)
+			} else {
+				b.drop(id)
+			}
+			return
+		}
+		// An earlier owner may have written the end, and not have come to clean up.
+		var tr wire.TxnReply
+		if r.Status == statestore.Conflict && status != "" && wire.Decode(r.Body, &tr) == nil && slices.Contains(tr.Failed, keyFinal+id) {
+			b.store.Get(statestore.Finish, limits.PollWait, keyFinal+id, func(r statestore.Reply) {
+				var row wire.Row
+				var f final
+				if r.Status == statestore.OK && wire.Decode(r.Body, &row) == nil && wire.Decode(row.Value, &f) == nil && f.Status == wire.StatusDone && b.Open[id] == j && len(j.Placed) == 0 {
+					b.remember(id, f)
+					b.settled(j)
+				}
+			})
 		}
 	})
 }
 
+// settled puts a job whose end is written aside until its record is removed.
+func (b *Book) settled(j *Job) {
+	delete(b.Open, j.ID)
+	delete(b.flushAt, j.ID)
+	b.closed[j.ID] = j
+}
+
+// clean removes the records of jobs that are over, many in one transaction. No owner's
+// guard is needed: an end that is written stays.
+func (b *Book) clean() {
+	if b.cleaning || len(b.closed) == 0 {
+		return
+	}
+	var t wire.Txn
+	for _, id := range slices.Sorted(maps.Keys(b.closed)) {
+		e, ok := b.store.Mirror.Get(keyOpen + id)
+		if !ok {
+			delete(b.closed, id)
+			continue
+		}
+		if len(t.Then) < b.store.MaxWrites() {
+			t.Guards = append(t.Guards, wire.Guard{Key: keyOpen + id, Version: e.Version})
+			t.Then = append(t.Then, wire.Op{Remove: keyOpen + id})
+		}
+	}
+	if len(t.Then) == 0 {
+		return
+	}
+	b.cleaning = true
+	b.store.Txn(statestore.Progress, limits.StoreTimeout*2, t, func(statestore.Reply) { b.cleaning = false })
+}
+
 // drop forgets a job that is over; its record goes with the next batch.
 func (b *Book) drop(id string) {
 	if j := b.Open[id]; j != nil && j.launched {
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -243,7 +243,7 @@
 		b.book.Submit(b.now, &wire.Job{ID: id, Tasks: 1}, func(x Answer) { a = x })
 		return a
 	}
-	b.store.Share(0.001) // a change a second
+	b.store.Share(0.001, 0.001) // a change a second
 	n := 0
 	for ; n < 1000; n++ {
 		a := submit(fmt.Sprintf("job-%d", n))
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -61,9 +61,11 @@
 
 // The state service.
 const (
-	// OwnerWeight is an owner's part of the budget for each part of a node that
-	// only takes in users' requests.
+	// OwnerWeight and OwnerWrites are an owner's parts of the budget of requests and of
+	// changes for each part of a node that only takes in users' requests: a job costs
+	// one change where it is submitted, and two or three at the owner.
 	OwnerWeight = 3.0
+	OwnerWrites = 6.0
 	// StoreTimeout is how long a request to the state service may take; normal
 	// answers take milliseconds, slow ones a few hundred.
 	StoreTimeout = 1500 * time.Millisecond
@@ -87,10 +89,12 @@
 	BudgetUse = 0.9
 	// BurstUse is the part of one second's budget that a node may save up.
 	BurstUse = 0.45
-	// RosterReserve and ProgressReserve are the parts of the saved-up changes that
-	// machines and done bits leave to what users wait for.
-	RosterReserve   = 0.2
+	// ProgressReserve is the part of the saved-up changes that done bits and clean-up
+	// leave to what users wait for.
 	ProgressReserve = 0.5
+	// PrepareWait is for how long jobs that wait for their record before the first
+	// launch are collected while the budget of changes is used up: many go into one.
+	PrepareWait = 300 * time.Millisecond
 	// QueryReserve is the part of the saved-up requests that questions leave to
 	// submissions and to what the owner has to write.
 	QueryReserve = 0.3
--- a/internal/statestore/pack_test.go
+++ b/internal/statestore/pack_test.go
@@ -175,7 +175,7 @@
 func TestUsersGoBeforeBatches(t *testing.T) {
 	s := New(150, 20, 8, 4)
 	s.Mirror.busy = true
-	s.Share(0.2)
+	s.Share(0.2, 0.2)
 	s.Tick(time.Second)
 	for i := 0; i < 50; i++ {
 		s.Txn(Progress, 0, wire.Txn{Then: []wire.Op{{Key: "x"}}}, func(Reply) {})
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -19,8 +19,8 @@
 const (
 	Lease    Priority = iota // renewals and claims: without them nothing is allowed
 	User                     // submissions and cancellations
+	Roster                   // jobs and machines that wait to be used, many to a change
 	Finish                   // completions
-	Roster                   // machines that wait to be used
 	Query                    // questions about jobs: many go together while they wait
 	Progress                 // done bits, clean-up
 	priorities
@@ -31,7 +31,7 @@
 // requestReserve is the same for requests: guards against submissions that queue
 // behind the questions of users who ask many times as often.
 var (
-	reserve        = [priorities]float64{Roster: limits.RosterReserve, Progress: limits.ProgressReserve}
+	reserve        = [priorities]float64{Progress: limits.ProgressReserve}
 	requestReserve = [priorities]float64{Query: limits.QueryReserve}
 )
 
@@ -115,16 +115,16 @@
 // New makes a client with the whole deployment's budget; Share sets its part.
 func New(rps, writeRPS float64, txnOps int, valueKB float64) *Store {
 	s := &Store{rps: rps, wps: writeRPS, flights: map[uint64]*flight{}, TxnOps: txnOps, TxnGuards: 4 * txnOps, ValueBytes: valueKB * 1024}
-	s.Share(1.0 / 3)
+	s.Share(1.0/3, 1.0/3)
 	s.reqs.level, s.writes.level = s.reqs.most, s.writes.most
 	s.Mirror = newMirror(s)
 	return s
 }
 
-// Share sets which part of the budget this node may use.
-func (s *Store) Share(part float64) {
-	s.reqs.rate = max(3, s.rps*part*limits.BudgetUse)
-	s.writes.rate = max(1, s.wps*part*limits.BudgetUse)
+// Share sets which parts of the budgets of requests and of changes this node may use.
+func (s *Store) Share(requests, changes float64) {
+	s.reqs.rate = max(3, s.rps*requests*limits.BudgetUse)
+	s.writes.rate = max(1, s.wps*changes*limits.BudgetUse)
 	// Bursts seldom come to all nodes at once, and the service allows a second's
 	// worth: a node may save up more than its part of that.
 	s.reqs.most = max(s.reqs.rate, s.rps*limits.BurstUse)
--- a/internal/statestore/store_test.go
+++ b/internal/statestore/store_test.go
@@ -36,7 +36,7 @@
 
 func TestBudgetAndPriority(t *testing.T) {
 	s, _ := loaded(t)
-	s.Share(0.5) // 9 writes a second
+	s.Share(0.5, 0.5) // 9 writes a second
 	var order []string
 	write := func(p Priority, name string) {
 		s.Txn(p, 0, wire.Txn{Then: []wire.Op{{Key: name}, {Key: name}, {Key: name}}}, func(Reply) { order = append(order, name) })
@@ -116,7 +116,7 @@
 // questions leave room, and a submission goes at once.
 func TestNothingUsesUpTheRequests(t *testing.T) {
 	s, watch := loaded(t)
-	s.Share(1.0 / 7)
+	s.Share(1.0/7, 1.0/7)
 	watches, questions := 0, 0
 	var open []uint64
 	for now := time.Second; now < 20*time.Second; now += 10 * time.Millisecond {
