Changes are saved up for larger transactions of higher priority

Cause: records that hundreds of jobs and all new machines wait for take several changes in one transaction; completions, one or two changes each and of lower priority, took every change before so many had come together. Records that nobody waits for go alone, and only when changes are to spare. Owners have four parts of the changes (six slowed submissions elsewhere).

--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -390,7 +390,7 @@
 			if b.store.WriteWait(statestore.Finish) > 0 {
 				wait = limits.PrepareWait
 			}
-			b.done.Set(j.Class0, j.ID, j.Done.chunk(0), wait)
+			b.done.Need(j.Class0, j.ID, j.Done.chunk(0), wait)
 		}
 	case !j.writing:
 		b.writePart(j, 0, statestore.Roster)
@@ -550,7 +550,7 @@
 // clean removes the records of jobs that are over, many in one transaction. No owner's
 // guard is needed: an end that is written stays.
 func (b *Book) clean() {
-	if b.cleaning || len(b.closed) == 0 {
+	if b.cleaning || len(b.closed) == 0 || !b.store.Spare(1) {
 		return
 	}
 	var t wire.Txn
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -65,7 +65,7 @@
 	// changes for each part of a node that only takes in users' requests: a job costs
 	// one change where it is submitted, and two or three at the owner.
 	OwnerWeight = 3.0
-	OwnerWrites = 6.0
+	OwnerWrites = 4.0
 	// StoreTimeout is how long a request to the state service may take; normal
 	// answers take milliseconds, slow ones a few hundred.
 	StoreTimeout = 1500 * time.Millisecond
--- a/internal/statestore/pack.go
+++ b/internal/statestore/pack.go
@@ -135,6 +135,15 @@
 // Set wishes for a record, to be written within wait; without a wait it is
 // urgent, and goes with everything else that waits for its key.
 func (p *Pack) Set(class, id string, value any, wait time.Duration) {
+	p.set(class, id, value, wait, wait == 0)
+}
+
+// Need is Set for a record that is urgent although it may wait for others to go with.
+func (p *Pack) Need(class, id string, value any, wait time.Duration) {
+	p.set(class, id, value, wait, true)
+}
+
+func (p *Pack) set(class, id string, value any, wait time.Duration, urgent bool) {
 	raw, err := wire.Encode(value)
 	if err != nil {
 		return
@@ -144,19 +153,19 @@
 		sh = p.place(class, cost(id, raw))
 		p.of[id] = sh
 	}
-	p.wish(sh, id, raw, wait)
+	p.wish(sh, id, raw, wait, urgent)
 }
 
 // Remove wishes a record away, within wait.
 func (p *Pack) Remove(id string, wait time.Duration) {
 	if sh := p.of[id]; sh != nil {
-		p.wish(sh, id, nil, wait)
+		p.wish(sh, id, nil, wait, wait == 0)
 	}
 }
 
-func (p *Pack) wish(sh *sheet, id string, value msgpack.RawMessage, wait time.Duration) {
+func (p *Pack) wish(sh *sheet, id string, value msgpack.RawMessage, wait time.Duration, urgent bool) {
 	if old, ok := sh.wishes[id]; ok {
-		if bytes.Equal(old.value, value) && (wait > 0 || sh.urgent) {
+		if bytes.Equal(old.value, value) && (!urgent || sh.urgent) {
 			return
 		}
 		if old.value != nil {
@@ -174,7 +183,7 @@
 	if at := p.s.now + wait; len(sh.wishes) == 0 || at < sh.due {
 		sh.due = at
 	}
-	sh.urgent = sh.urgent || wait == 0
+	sh.urgent = sh.urgent || urgent
 	sh.wishes[id] = wished{value}
 }
 
@@ -215,11 +224,19 @@
 	var sent []*sheet
 	guards := map[string]bool{}
 	total, urgent := 0, false
+	for _, sh := range p.sheets {
+		urgent = urgent || sh.urgent && len(sh.wishes) > 0 && p.s.now >= sh.due
+	}
 	for _, key := range slices.Sorted(maps.Keys(p.sheets)) {
 		sh := p.sheets[key]
 		if len(sh.wishes) == 0 || p.s.now < sh.due || len(t.Then) >= p.s.MaxWrites() || total+sh.size > limits.PackTxn {
 			continue
 		}
+		// What nobody waits for goes when changes are to spare, and alone. Guards
+		// against jobs whose records, and machines that, waited behind it for minutes.
+		if urgent != sh.urgent || (!urgent && !p.s.Spare(len(t.Then)+1)) {
+			continue
+		}
 		recs := maps.Clone(sh.stored)
 		for id, w := range sh.wishes {
 			if w.value == nil {
@@ -243,7 +260,6 @@
 		t.Guards = append(t.Guards, wire.Guard{Key: sh.key, Version: sh.version})
 		t.Then = append(t.Then, wire.Op{Key: sh.key, Value: msgpack.RawMessage(raw)})
 		total += sh.size
-		urgent = urgent || sh.urgent
 		sh.urgent = false
 		sent = append(sent, sh)
 	}
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -102,6 +102,7 @@
 	flights   map[uint64]*flight
 	nextID    uint64
 	pause     time.Duration // no ordinary requests before this
+	saving    bool          // changes are saved up for a transaction of a higher priority
 	out       []Call
 	LastOK    time.Duration // when the last answered request was sent
 	LastFail  time.Duration
@@ -198,6 +199,7 @@
 	s.reqs.fill(now)
 	s.writes.fill(now)
 	s.Mirror.tick()
+	s.saving = false
 	for p := range s.queues {
 		s.pump(Priority(p))
 	}
@@ -219,7 +221,12 @@
 		// A transaction larger than the burst could wait for ever: a full
 		// bucket lets it go and takes on the debt.
 		need := min(float64(r.writes)+s.writes.most*reserve[p], s.writes.most)
-		if !urgent && (s.now < s.pause || len(s.flights) >= limits.StoreInFlight || s.reqs.level < 1+s.reqs.most*requestReserve[p] || (r.writes > 0 && s.writes.level < need)) {
+		short := r.writes > 0 && (s.saving || s.writes.level < need)
+		if !urgent && (s.now < s.pause || len(s.flights) >= limits.StoreInFlight || s.reqs.level < 1+s.reqs.most*requestReserve[p] || short) {
+			// Guards against records that hundreds of jobs and all new machines waited
+			// for: completions, one change each, took every change before the several
+			// that such a transaction needs had come together.
+			s.saving = s.saving || short && p != Progress
 			kept = append(kept, q[i:]...)
 			break
 		}
@@ -280,6 +287,17 @@
 	return time.Duration(max(0, n/s.writes.rate) * float64(time.Second))
 }
 
+// Spare tells whether so many changes of the least priority could go now.
+func (s *Store) Spare(changes int) bool {
+	n := float64(changes)
+	for p := range s.queues {
+		for _, r := range s.queues[p] {
+			n += float64(r.writes)
+		}
+	}
+	return s.writes.level >= min(n+s.writes.most*reserve[Progress], s.writes.most)
+}
+
 // Down tells whether the state service seems out of reach: the newest failure
 // is newer than every success.
 func (s *Store) Down() bool { return s.LastFail > s.LastOK && s.LastFail > 0 }
--- a/internal/statestore/store_test.go
+++ b/internal/statestore/store_test.go
@@ -154,3 +154,33 @@
 		t.Errorf("%d watches and %d questions in 19 s of 19 requests each", watches, questions)
 	}
 }
+
+// TestLargeTransactionsAreSavedFor: a transaction of several changes goes although less
+// important ones of one change each keep coming, more than the budget holds.
+func TestLargeTransactionsAreSavedFor(t *testing.T) {
+	s, _ := loaded(t)
+	s.Share(0.5, 0.5) // 9 changes a second
+	records, completions := 0, 0
+	for now := time.Second; now <= 11*time.Second; now += 50 * time.Millisecond {
+		if now%(2*time.Second) == 0 {
+			s.Txn(Roster, time.Second, wire.Txn{Then: make([]wire.Op, 7)}, func(r Reply) {
+				if r.Status == OK {
+					records++
+				}
+			})
+		}
+		s.Txn(Finish, 3*time.Second, wire.Txn{Then: make([]wire.Op, 1)}, func(r Reply) {
+			if r.Status == OK {
+				completions++
+			}
+		})
+		for _, c := range s.Tick(now) {
+			if c.Method == "POST" {
+				s.Reply(now, c.ID, 200, nil)
+			}
+		}
+	}
+	if records != 5 || completions < 40 {
+		t.Errorf("%d of 5 records and %d completions went", records, completions)
+	}
+}
