--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -386,10 +386,7 @@
 			j.asked = true
 			// Guards against jobs that waited for one change each, one after the other,
 			// when many small ones came.
-			wait := time.Duration(0)
-			if b.store.WriteWait(statestore.Finish) > 0 {
-				wait = limits.PrepareWait
-			}
+			wait := min(b.store.WriteWait(statestore.Finish), limits.PrepareWait)
 			b.done.Need(j.Class0, j.ID, j.Done.chunk(0), wait)
 		}
 	case !j.writing:
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -65,7 +65,7 @@
 	// changes for each part of a node that only takes in users' requests: a job costs
 	// one change where it is submitted, and two or three at the owner.
 	OwnerWeight = 3.0
-	OwnerWrites = 4.0
+	OwnerWrites = 5.0
 	// StoreTimeout is how long a request to the state service may take; normal
 	// answers take milliseconds, slow ones a few hundred.
 	StoreTimeout = 1500 * time.Millisecond
@@ -92,9 +92,9 @@
 	// ProgressReserve is the part of the saved-up changes that done bits and clean-up
 	// leave to what users wait for.
 	ProgressReserve = 0.5
-	// PrepareWait is for how long jobs that wait for their record before the first
-	// launch are collected while the budget of changes is used up: many go into one.
-	PrepareWait = 300 * time.Millisecond
+	// PrepareWait is for how long at most jobs that wait for their record before the
+	// first launch are collected while the budget of changes is used up: many go into one.
+	PrepareWait = time.Second
 	// QueryReserve is the part of the saved-up requests that questions leave to
 	// submissions and to what the owner has to write.
 	QueryReserve = 0.3
