--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -64,10 +64,11 @@
 	}
 	// PeerReply is a peer's answer to a PeerCall.
 	PeerReply struct {
-		Peer  string
-		Sent  time.Duration
-		Probe bool
-		Yes   bool
+		Peer    string
+		Sent    time.Duration
+		Probe   bool
+		Visited bool
+		Yes     bool
 	}
 	// PeerRequest is a peer's PeerCall as it arrives here.
 	PeerRequest struct {
@@ -78,12 +79,14 @@
 
 // Outputs of the core.
 type (
-	// Answer answers the input with the same Ref.
+	// Answer answers the input with the same Ref. It must not leave after Until, if
+	// that is set.
 	Answer struct {
 		Ref        uint64
 		Status     int
 		Body       any
 		RetryAfter int
+		Until      time.Duration
 	}
 	// Log is a line for the operator.
 	Log struct {
@@ -101,10 +104,11 @@
 
 // PeerMessage is what controllers tell each other: counts for display, the wish
 // for a promise not to take over the given terms, or the question whether the
-// peer reaches the state service.
+// peer reaches the state service, or whether workers of others come to it.
 type PeerMessage struct {
 	From    string
 	Probe   bool
+	Visited bool
 	Promise bool
 	Terms   map[string]uint64
 	Counts  map[string][2]int
@@ -123,8 +127,10 @@
 	At       int64 // time of day of the rental, s
 	// Up: it has reported and may have got tasks. Without it the machine is on
 	// its way: a takeover need not wait for it.
-	Up    bool
-	Class string `msgpack:"-"`
+	Up bool
+	// Address is where its worker answers, for a new owner that it does not find.
+	Address string
+	Class   string `msgpack:"-"`
 }
 
 // Core is the state machine. It has no clock, no I/O and no locks.
@@ -150,9 +156,12 @@
 	// lastReport is when a worker's report last counted, backAt when one last came
 	// after a time without any, and newcomer when a machine last found this owner.
 	lastReport, backAt, newcomer time.Duration
-	// lastKnock is when a report for our classes last arrived, answered or not, and
-	// desertedAt when this node last handed its classes over.
-	lastKnock, desertedAt time.Duration
+	// lastKnock is when a report for our classes last arrived, answered or not,
+	// lastVisit when one for classes of others did, and desertedAt when this node
+	// last handed its classes over. visits is when peers last told of theirs.
+	lastKnock, lastVisit, desertedAt time.Duration
+	visits                           map[string]time.Duration
+	nextVisits                       time.Duration
 
 	regroup bool // what decides on Active and Frozen may have changed
 	// reported is room for sync's look at one report.
@@ -168,6 +177,7 @@
 	// orders are those under way; touched are machines with new plans.
 	orders    map[uint64]*order
 	lastOrder uint64
+	asks      int // of orders, those without commands
 	touched   []string
 	// The order of jobs, kept for a moment.
 	sorted    []*jobs.Job
@@ -194,7 +204,7 @@
 func NewCore(set *config.Settings, ops *config.Operator, now Now, random uint64) *Core {
 	c := &Core{set: set, ops: ops, now: now, teams: map[string]*config.Team{},
 		active: map[string]uint64{}, reported: map[attempt]bool{}, numbers: map[uint64]bool{}, orders: map[uint64]*order{}, claimed: map[string]*claimed{}, on: map[string]*host{}, booked: map[string]map[string]booking{}, roster: map[string]rosterEntry{},
-		told: map[string][2]int{}, relief: map[string]bool{}, typesSaved: map[string]bool{}, recorded: map[string]bool{}, waiting: map[string]bool{}}
+		visits: map[string]time.Duration{}, told: map[string][2]int{}, relief: map[string]bool{}, typesSaved: map[string]bool{}, recorded: map[string]bool{}, waiting: map[string]bool{}}
 	for i := range set.Cluster.Teams {
 		c.teams[set.Cluster.Teams[i].Name] = &set.Cluster.Teams[i]
 	}
@@ -221,12 +231,16 @@
 
 // Step takes one input and returns what to do about it.
 func (c *Core) Step(now Now, in any) []any {
+	if now.Steady-c.now.Steady > limits.SleptAfter {
+		c.slept(now.Steady)
+	}
 	if now.Steady > c.now.Steady {
 		c.now.Steady = now.Steady
 	}
 	c.now.Unix = now.Unix
 	t := c.now.Steady
 	c.own.Advance(t)
+	c.store.Advance(t)
 	switch x := in.(type) {
 	case Submit:
 		c.submit(x)
@@ -250,6 +264,10 @@
 		c.fleet.Reply(t, x.ID, x.Status, x.Body)
 	case PeerReply:
 		switch {
+		case x.Visited:
+			if x.Yes {
+				c.visits[x.Peer] = t
+			}
 		case !x.Probe:
 			c.own.Promised(x.Peer, x.Sent, x.Yes)
 		case x.Yes:
@@ -262,6 +280,17 @@
 	return c.flush()
 }
 
+// slept takes note that this node stood still until now: what it did not hear
+// meanwhile waits to be read, so nobody's silence counts, and it decides on nothing
+// before. Guards against machines that a node returned, and classes that it handed
+// over, as soon as it went on.
+func (c *Core) slept(t time.Duration) {
+	c.log("info", "stood still", "for", t-c.now.Steady)
+	c.lastKnock, c.lastReport = t, t
+	c.backAt, c.newcomer = t, t
+	c.nextRun, c.nextPlan = t+limits.TickEvery, t+limits.PlanEvery
+}
+
 func (c *Core) flush() []any {
 	out := c.out
 	c.out = nil
@@ -269,7 +298,7 @@
 }
 
 func (c *Core) answer(ref uint64, a jobs.Answer) {
-	c.out = append(c.out, Answer{ref, a.Status, a.Body, a.RetryAfter})
+	c.out = append(c.out, Answer{Ref: ref, Status: a.Status, Body: a.Body, RetryAfter: a.RetryAfter})
 }
 
 // advance lets every slice do what is due, in the order in which they depend
@@ -280,7 +309,7 @@
 	c.share()
 	c.own.Tick(t, c.fleet.Classes(), c.demand)
 	if c.deserted() {
-		c.own.HandOver()
+		c.own.HandOver(c.visited())
 		c.desertedAt = t
 	}
 	c.followClaims()
@@ -380,7 +409,7 @@
 		for id, e := range c.roster {
 			if e.Class == class {
 				if e.Up {
-					c.pool.Expect(id, e.Class, e.Zone, e.Spot, cl.Since)
+					c.pool.Expect(id, e.Class, e.Zone, e.Spot, cl.Since).Address = e.Address
 				}
 				if r := c.fleet.Know(id, fleet.Kind{Class: e.Class, Zone: e.Zone, Spot: e.Spot}, c.now.Steady-c.age(float64(e.At))); r != nil {
 					r.WasUp = e.Up
@@ -502,8 +531,8 @@
 		return
 	}
 	c.nextRoster = c.now.Steady + limits.LookEvery
-	entry := func(k fleet.Kind, since time.Duration, up bool) rosterEntry {
-		return rosterEntry{Zone: k.Zone, Spot: k.Spot, At: int64(c.now.Unix - (c.now.Steady - since).Seconds()), Up: up}
+	entry := func(k fleet.Kind, since time.Duration, up bool, address string) rosterEntry {
+		return rosterEntry{Address: address, Zone: k.Zone, Spot: k.Spot, At: int64(c.now.Unix - (c.now.Steady - since).Seconds()), Up: up}
 	}
 	for _, m := range c.pool.Sorted() {
 		if !c.roster[m.ID].Up && !m.Deleting && m.Adopted && !c.recorded[m.ID] {
@@ -512,7 +541,7 @@
 				since = r.Since
 			}
 			c.recorded[m.ID] = true
-			c.records.Set(m.Class, m.ID, entry(fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, since, true), 0)
+			c.records.Set(m.Class, m.ID, entry(fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, since, true, m.Address), 0)
 		}
 	}
 	for id, r := range c.fleet.Rentals {
@@ -522,7 +551,7 @@
 		if _, ok := c.active[r.Kind.Class]; ok {
 			// Booting: a successor then knows what is on its way before the
 			// lists do, and rents nothing twice.
-			c.records.Set(r.Kind.Class, id, entry(r.Kind, r.Since, false), limits.PackLater)
+			c.records.Set(r.Kind.Class, id, entry(r.Kind, r.Since, false, ""), limits.PackLater)
 		}
 	}
 	for id, e := range c.roster {
@@ -582,6 +611,13 @@
 			c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.set.Label, Probe: true}})
 		}
 	}
+	// An owner that its workers don't reach looks for a node that they do reach.
+	if len(c.active) > 0 && t-max(c.lastKnock, c.backAt) > c.quiet()/2 && t >= c.nextVisits {
+		c.nextVisits = t + limits.PromiseEvery
+		for _, p := range c.set.Others {
+			c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.set.Label, Visited: true}})
+		}
+	}
 	if t < c.nextTell || len(c.active) == 0 {
 		return
 	}
@@ -612,6 +648,10 @@
 		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: c.store.Mirror.Loaded && !c.store.Down()})
 		return
 	}
+	if x.Msg.Visited {
+		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: c.lastVisit > 0 && c.now.Steady-c.lastVisit < limits.VisitedFor})
+		return
+	}
 	if x.Msg.Promise {
 		yes := c.own.AskPromise(c.now.Steady, x.Msg.Terms)
 		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: yes})
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -16,6 +16,7 @@
 	reply := func(status int, body any) { c.out = append(c.out, Answer{Ref: x.Ref, Status: status, Body: body}) }
 	term, ours := c.active[r.Type]
 	if !ours {
+		c.lastVisit = c.now.Steady
 		if o := c.own.Owner(r.Type); o != "" && o != c.set.Label {
 			reply(421, wire.Redirect{Owner: o})
 		} else {
@@ -58,7 +59,8 @@
 			out.Commands = c.again(m, out.Commands)
 		}
 	}
-	reply(200, out)
+	// Judged when it leaves: guards against a node that stands still in between.
+	c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: out, Until: c.own.ActUntil()})
 }
 
 // attempt names one attempt of a task.
@@ -206,7 +208,7 @@
 			c.take(j, task)
 		}
 		if !j.Done.Has(task) {
-			m.Strikes = 0
+			m.Struck = map[string]int{}
 			j.Succeeded = true
 			j.Backoff = 0
 			j.MarkDone(task)
@@ -231,18 +233,40 @@
 // failed judges who is to blame for a failed task: the machine, if tasks of
 // jobs that run elsewhere fail on it; the job, if it fails on several machines.
 func (c *Core) failed(m *workers.Machine, j *jobs.Job) {
+	was := j.Faulty()
 	j.FailedOn[m.ID] = true
 	if j.Faulty() {
-		j.Backoff = min(max(2*j.Backoff, limits.RetryBase), limits.RetryMost)
-		j.NotBefore = c.now.Steady + j.Backoff
-		c.log("info", "job fails everywhere", "job", j.ID, "machines", len(j.FailedOn), "retryIn", j.Backoff)
+		if !was {
+			// The machines were not to blame. Guards against two jobs with a mistake
+			// of which both had run on a machine: it was drained for them.
+			for _, other := range c.pool.Machines {
+				delete(other.Struck, j.ID)
+			}
+		}
+		// Tasks that were started together fail together: that is one try. Guards
+		// against a pause of a minute after the first, although the machines may
+		// have been at fault.
+		if c.now.Steady >= j.NotBefore {
+			j.Backoff = min(max(2*j.Backoff, limits.RetryBase), limits.RetryMost)
+			j.NotBefore = c.now.Steady + j.Backoff
+			c.log("info", "job fails everywhere", "job", j.ID, "machines", len(j.FailedOn), "retryIn", j.Backoff)
+		}
+		return
+	}
+	m.Struck[j.ID]++
+	strikes := 0
+	for _, n := range m.Struck {
+		strikes += n
+	}
+	if m.Draining || strikes < limits.StrikesOut || (len(m.Struck) == 1 && !j.Succeeded) {
 		return
 	}
-	m.Strikes++
-	m.StruckBy[j.ID] = true
-	if !m.Draining && (m.Strikes >= limits.StrikesOut && (len(m.StruckBy) > 1 || j.Succeeded)) {
-		m.Draining, m.Faulty = true, true
-		c.log("info", "machine fails its tasks", "machine", m.ID, "strikes", m.Strikes)
+	m.Draining, m.Faulty = true, true
+	c.log("info", "machine fails its tasks", "machine", m.ID, "strikes", strikes)
+	// What failed there says nothing about the jobs. Guards against jobs that were
+	// taken for faulty because several machines were.
+	for _, other := range c.book.Open {
+		delete(other.FailedOn, m.ID)
 	}
 }
 
@@ -278,6 +302,7 @@
 		heard = max(heard, m.Heard)
 	}
 	many, most := c.manySilent(), c.mostFound()
+	c.askSilent()
 	for _, m := range c.pool.Sorted() {
 		if !m.Lost && c.pool.Expired(m, t) {
 			m.Lost = true
@@ -336,12 +361,22 @@
 	return c.now.Steady - max(m.Heard, c.backAt)
 }
 
+// visited names a peer to which workers of our classes come in vain, if there is one.
+func (c *Core) visited() string {
+	best := ""
+	for _, p := range c.set.Others {
+		if at, ok := c.visits[p.Label]; ok && c.now.Steady-at < limits.VisitedFor && (best == "" || at > c.visits[best]) {
+			best = p.Label
+		}
+	}
+	return best
+}
+
 // deserted tells whether no worker reaches this owner any more, though many did:
 // it is cut off from them, and keeps its classes all the same as long as it
 // reaches the state service. Guards against a day on which all machines lost their
-// tasks that way. Whoever was never heard as owner waits for a lease, so that
-// machines that are all gone don't send the classes round and round; less if it
-// was deserted a moment ago and got the classes back for want of another node.
+// tasks that way. Whoever was never heard as owner waits longer, for workers whose
+// reports hang on the node before, unless workers come to another node in vain.
 func (c *Core) deserted() bool {
 	if len(c.active) == 0 || !c.own.LeaseValid() {
 		return false
@@ -350,8 +385,8 @@
 	last, wait := c.lastKnock, c.quiet()
 	for class := range c.active {
 		if cl := c.own.Claims()[class]; cl != nil && cl.Since > last {
-			last, wait = cl.Since, c.pool.Bound(0)
-			if c.desertedAt > 0 && c.now.Steady-c.desertedAt < 2*c.pool.Lease {
+			last = cl.Since
+			if c.visited() == "" {
 				wait = c.quiet() + limits.SilentRetry
 			}
 		}
@@ -416,7 +451,7 @@
 		if t-c.newcomer < limits.TakeoverPause {
 			return false
 		}
-		return most
+		return most && (m.Mute || m.Address == "" || c.silence(m) > c.pool.Report*5/4+limits.SilentRetry)
 	}
 	return c.silence(m) > c.pool.SilentFor()
 }
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -12,11 +12,13 @@
 // OrderCall is a message straight to a worker, OrderReply what came of it. Unsent
 // tells that no connection was made: the worker certainly got nothing.
 type (
-	// OrderCall is launches for a worker that need not wait for its next report.
+	// OrderCall is launches for a worker that need not wait for its next report. It
+	// must not leave after Until.
 	OrderCall struct {
 		ID      uint64
 		Address string
 		Body    wire.Orders
+		Until   time.Duration
 	}
 	// OrderReply is the answer to an OrderCall; status 0 is none.
 	OrderReply struct {
@@ -34,6 +36,7 @@
 	term    uint64
 	tasks   []placed
 	numbers []uint64 // their attempts
+	ask     bool     // without commands: what does the machine run?
 }
 
 // sendOrders tells machines at once what was planned for them. Unlike an answer
@@ -44,7 +47,7 @@
 	t := c.now.Steady
 	for _, id := range c.touched {
 		m, h := c.pool.Machines[id], c.on[id]
-		if m == nil || h == nil || h.planned == 0 || m.Ordered || m.Address == "" || len(c.orders) >= limits.OrdersInFlight ||
+		if m == nil || h == nil || h.planned == 0 || m.Ordered || m.Address == "" || len(c.orders)-c.asks >= limits.OrdersInFlight ||
 			!m.Usable(t, c.pool.Report) || !c.roster[id].Up || t-m.Heard > c.pool.Report+limits.OrderSlack {
 			continue
 		}
@@ -69,7 +72,7 @@
 		m.Ordered = true
 		c.lastOrder++
 		c.orders[c.lastOrder] = o
-		c.out = append(c.out, OrderCall{ID: c.lastOrder, Address: m.Address, Body: wire.Orders{Token: m.Term, Session: m.Session, Commands: cmds}})
+		c.out = append(c.out, OrderCall{ID: c.lastOrder, Address: m.Address, Body: wire.Orders{Token: m.Term, Session: m.Session, Commands: cmds}, Until: c.own.ActUntil()})
 	}
 	c.touched = c.touched[:0]
 }
@@ -81,11 +84,18 @@
 		return
 	}
 	delete(c.orders, x.ID)
+	if o.ask {
+		c.asks--
+	}
 	m := c.pool.Machines[o.machine]
 	if m == nil {
 		return
 	}
 	m.Ordered = false
+	if o.ask {
+		c.askedAbout(m, o, x)
+		return
+	}
 	if m.Term != o.term || m.Session != o.session {
 		return // the order is void by now, and sync has judged its places
 	}
@@ -122,6 +132,53 @@
 	c.sync(m, nil, true)
 }
 
+// askSilent asks machines that were not heard in time what they run, by an order
+// without commands: their workers may hang on another node, which answers nothing,
+// or look for this one. Guards against the return of healthy machines, and against
+// jobs that waited for them, when a controller stood still.
+func (c *Core) askSilent() {
+	t := c.now.Steady
+	if !c.own.MayLaunch() {
+		return
+	}
+	for _, m := range c.pool.Sorted() {
+		if c.asks >= limits.AsksInFlight {
+			return
+		}
+		term := c.active[m.Class]
+		if m.Ordered || m.Deleting || m.Lost || m.Address == "" || t < m.AskAt || t-m.Heard <= c.pool.Report*5/4+limits.AskAfter {
+			continue
+		}
+		m.AskAt = t + limits.AskEvery
+		m.Ordered = true
+		c.asks++
+		c.lastOrder++
+		c.orders[c.lastOrder] = &order{machine: m.ID, session: max(m.Session, m.AskSession), term: term, ask: true}
+		c.out = append(c.out, OrderCall{ID: c.lastOrder, Address: m.Address, Body: wire.Orders{Token: term, Session: max(m.Session, m.AskSession), Commands: []wire.Command{}}, Until: c.own.ActUntil()})
+	}
+}
+
+// askedAbout takes in what a silent machine answered.
+func (c *Core) askedAbout(m *workers.Machine, o *order, x OrderReply) {
+	if c.active[m.Class] != o.term {
+		return
+	}
+	r := &wire.Report{}
+	if (x.Status != 200 && x.Status != 409) || wire.Decode(x.Body, r) != nil || r.Machine != m.ID {
+		m.Mute = true
+		return
+	}
+	resolved, found := m.Resolved(), m.Term == o.term
+	if !c.pool.HearAsked(c.now.Steady, m, r, o.term, o.session) {
+		return
+	}
+	c.heard(m, found)
+	c.log("debug", "silent machine answered", "machine", m.ID, "session", r.Session, "tasks", len(r.Tasks))
+	c.dirty = true
+	c.regroup = c.regroup || !resolved
+	c.sync(m, nil, true)
+}
+
 // again lists the launches whose order was never answered and which no report
 // shows: the answer to a report repeats them, and the worker ignores what it has.
 func (c *Core) again(m *workers.Machine, cmds []wire.Command) []wire.Command {
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -105,7 +105,7 @@
 		s.log.Debug("peer not reached", "peer", x.Peer, "error", err)
 		yes = false
 	}
-	if x.Msg.Promise || x.Msg.Probe {
-		s.send(event{in: PeerReply{Peer: x.Peer, Sent: x.Sent, Probe: x.Msg.Probe, Yes: yes}})
+	if x.Msg.Promise || x.Msg.Probe || x.Msg.Visited {
+		s.send(event{in: PeerReply{Peer: x.Peer, Sent: x.Sent, Probe: x.Msg.Probe, Visited: x.Msg.Visited, Yes: yes}})
 	}
 }
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -386,7 +386,7 @@
 	if len(c.fleet.Types) == 0 || !c.fleet.Listed {
 		return
 	}
-	c.fleet.Sweep()
+	c.fleet.Sweep(c.now.Steady-c.lastReport <= c.quiet(), c.backAt)
 	c.logUse()
 	machines, capacity, unseen := c.rooms(true)
 	teams := c.claims(true, unseen)
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -30,6 +30,7 @@
 	in     any
 	answer chan Answer
 	make   func(ref uint64) any
+	ctx    context.Context // of a user who may stop waiting; nil: none
 }
 
 // Server is the loop that owns the core, and the sockets around it.
@@ -37,23 +38,26 @@
 	set   *config.Settings
 	core  *Core
 	inbox chan event
-	start time.Time
-	log   *slog.Logger
-	refs  map[uint64]chan Answer
-	ref   uint64
-	state *http.Client
-	cloud *http.Client
-	work  *http.Client
-	peers map[string]*peer
-	conns atomic.Int64
-	crowd int64 // above this many connections users' are not kept open
-	full  int64 // above this many connections new ones are closed
-	ctx   context.Context
+	// questions are users' questions about jobs: a stage of their own with a small
+	// buffer, from which the loop takes only when nothing else waits.
+	questions chan event
+	start     time.Time
+	log       *slog.Logger
+	refs      map[uint64]chan Answer
+	ref       uint64
+	state     *http.Client
+	cloud     *http.Client
+	work      *http.Client
+	peers     map[string]*peer
+	conns     atomic.Int64
+	crowd     int64 // above this many connections users' are not kept open
+	full      int64 // above this many connections new ones are closed
+	ctx       context.Context
 }
 
 // NewServer prepares a controller process.
 func NewServer(set *config.Settings, ops *config.Operator, log *slog.Logger) *Server {
-	s := &Server{set: set, inbox: make(chan event, limits.Inbox), start: time.Now(), log: log,
+	s := &Server{set: set, inbox: make(chan event, limits.Inbox), questions: make(chan event, limits.Questions), start: time.Now(), log: log,
 		refs: map[uint64]chan Answer{}, peers: map[string]*peer{}}
 	sockets := float64(set.Cluster.Resources.MaxSockets)
 	s.crowd = int64(sockets * (1 - limits.SocketReserve))
@@ -119,6 +123,17 @@
 	tick := time.NewTicker(limits.TickEvery)
 	defer tick.Stop()
 	for {
+		// Guards against reports, leases and submissions that wait behind users who
+		// ask many times as often.
+		select {
+		case e := <-s.inbox:
+			s.handle(e)
+			continue
+		case <-tick.C:
+			s.handle(event{in: Tick{}})
+			continue
+		default:
+		}
 		select {
 		case <-ctx.Done():
 			server.Close()
@@ -129,6 +144,11 @@
 			s.handle(e)
 		case <-tick.C:
 			s.handle(event{in: Tick{}})
+		case e := <-s.questions:
+			// A question whose user has stopped waiting costs no further work.
+			if e.ctx.Err() == nil {
+				s.handle(e)
+			}
 		}
 	}
 }
@@ -161,7 +181,10 @@
 			}()
 		case OrderCall:
 			go func() {
-				status, body, unsent := s.try(s.work, x.Address, "POST", "/orders", x.Body, limits.OrderTimeout)
+				status, body, unsent := 0, []byte(nil), true
+				if s.now().Steady < x.Until {
+					status, body, unsent = s.try(s.work, x.Address, "POST", "/orders", x.Body, limits.OrderTimeout)
+				}
 				s.send(event{in: OrderReply{x.ID, status, body, unsent}})
 			}()
 		case PeerCall:
@@ -210,16 +233,23 @@
 
 // ask sends an input and waits for its answer.
 func (s *Server) ask(make_ func(ref uint64) any, wait time.Duration) (Answer, bool) {
+	return s.enter(s.ctx, s.inbox, make_, wait, wait)
+}
+
+// enter sends an input to a stage, waits for room there for a while, and then for
+// the answer.
+func (s *Server) enter(ctx context.Context, stage chan event, make_ func(ref uint64) any, room, wait time.Duration) (Answer, bool) {
 	ch := make(chan Answer, 1)
-	t := time.NewTimer(wait)
+	t := time.NewTimer(room)
 	defer t.Stop()
 	select {
-	case s.inbox <- event{make: make_, answer: ch}:
+	case stage <- event{make: make_, answer: ch, ctx: ctx}:
 	case <-t.C:
 		return Answer{}, false
 	case <-s.ctx.Done():
 		return Answer{}, false
 	}
+	t.Reset(wait)
 	select {
 	case a := <-ch:
 		return a, true
@@ -285,7 +315,9 @@
 	})
 	mux.HandleFunc("GET /work/{id}", func(w http.ResponseWriter, r *http.Request) {
 		id := r.PathValue("id")
-		s.user(w, func(ref uint64) any { return Query{ref, id} })
+		s.crowded(w)
+		a, ok := s.enter(r.Context(), s.questions, func(ref uint64) any { return Query{ref, id} }, limits.QuestionRoom, limits.QuestionEdge)
+		s.answerUser(w, a, ok)
 	})
 	mux.HandleFunc("POST /work/{id}/cancel", func(w http.ResponseWriter, r *http.Request) {
 		id := r.PathValue("id")
@@ -316,10 +348,20 @@
 }
 
 func (s *Server) user(w http.ResponseWriter, make_ func(uint64) any) {
+	s.crowded(w)
+	a, ok := s.ask(make_, limits.EdgeTimeout)
+	s.answerUser(w, a, ok)
+}
+
+// crowded lets a user's connection end when there are many.
+func (s *Server) crowded(w http.ResponseWriter) {
 	if s.conns.Load() > s.crowd {
 		w.Header().Set("Connection", "close")
 	}
-	a, ok := s.ask(make_, limits.EdgeTimeout)
+}
+
+// answerUser passes an answer on; without one the user is told when to come back.
+func (s *Server) answerUser(w http.ResponseWriter, a Answer, ok bool) {
 	if !ok {
 		a = Answer{Status: 503, Body: wire.ErrorBody{Error: "overloaded"}, RetryAfter: limits.RetryAfterS}
 	}
@@ -338,7 +380,8 @@
 		return
 	}
 	a, ok := s.ask(func(ref uint64) any { return Checkin{ref, rep} }, limits.EdgeTimeout)
-	if !ok {
+	// What was decided before a standstill must not leave after it.
+	if !ok || (a.Until > 0 && s.now().Steady >= a.Until) {
 		a = Answer{Status: 503}
 	}
 	reply(w, a)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -376,8 +376,9 @@
 	f.pages = nil
 }
 
-// Sweep marks machines that failed or never came up.
-func (f *Manager) Sweep() {
+// Sweep marks machines that failed or never came up. hearing tells whether workers
+// reach this node, and from is since when they do.
+func (f *Manager) Sweep(hearing bool, from time.Duration) {
 	f.reckonRisk()
 	for _, r := range f.Rentals {
 		if r.Deleted {
@@ -387,13 +388,24 @@
 			f.Delete(r.ID, "failed")
 			continue
 		}
-		if t := f.Types[r.Kind.Class]; t != nil && !r.Up {
-			boot := time.Duration(t.BootS * limits.BootFactor * float64(time.Second))
-			// Known guards against a takeover that returns running machines
-			// only because they have not reported to the new owner yet.
-			if f.now-r.Since > boot+limits.BootSlack && f.now-r.Known > f.Patience {
-				f.Delete(r.ID, "never came up")
+		t := f.Types[r.Kind.Class]
+		if t == nil || r.Up {
+			continue
+		}
+		boot := time.Duration(t.BootS * limits.BootFactor * float64(time.Second))
+		known := r.Known
+		if r.WasUp || r.Listed == wire.MachineRunning {
+			// It came up, so it is this node that it can't reach. Guards against a new
+			// owner without its workers, which returned the whole fleet.
+			if !hearing {
+				continue
 			}
+			known = max(known, from)
+		}
+		// Known guards against a takeover that returns running machines
+		// only because they have not reported to the new owner yet.
+		if f.now-r.Since > boot+limits.BootSlack && f.now-known > f.Patience {
+			f.Delete(r.ID, "never came up")
 		}
 	}
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -158,9 +158,17 @@
 	// may take to find a new owner: a refused report, a second's wait, and a
 	// report that is redirected.
 	TakeoverSlack = 2500 * time.Millisecond
+	// AskAfter, added to the slowest report interval, is from what silence on a machine is
+	// asked directly, again every AskEvery; AsksInFlight bounds that.
+	AskAfter     = 500 * time.Millisecond
+	AskEvery     = 2 * time.Second
+	AsksInFlight = 96
 	// TakeoverHeard is the part of the machines that must have found the new
 	// owner before the others are taken for dead rather than cut off.
 	TakeoverHeard = 0.6
+	// VisitedFor is how long a worker that came to the wrong node shows that workers
+	// reach that node.
+	VisitedFor = 3 * time.Second
 	// DesertedReports, in report intervals, and DesertedFloor are for how long an
 	// owner may hear no worker at all before it hands its classes over: a worker
 	// reports within a quarter more than its interval, and gives up on an answer
@@ -316,8 +324,17 @@
 const (
 	// TickEvery is the pace of the event loop's own work.
 	TickEvery = 100 * time.Millisecond
+	// SleptAfter is from what pause between two events on this process is taken to have
+	// stood still: TickEvery brings one, late on a busy processor.
+	SleptAfter = time.Second
 	// Inbox bounds events that wait for the event loop.
 	Inbox = 1024
+	// Questions bounds users' questions that wait for the event loop. They wait for
+	// QuestionRoom to get there and for QuestionEdge then: users give up after 2 s,
+	// and are better told to come back.
+	Questions    = 64
+	QuestionRoom = 300 * time.Millisecond
+	QuestionEdge = 1600 * time.Millisecond
 	// MemoryUse is the part of ram_mb that the Go heap may take.
 	MemoryUse = 0.7
 	// PeerCalls bounds the calls that wait for one peer.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -71,11 +71,14 @@
 	last   map[string]string
 	ended  map[uint64]bool // leases of our earlier incarnations being ended
 
-	claims    map[string]*Claim
-	leaving   map[string]uint64        // class -> term that is being handed over
-	busy      map[string]time.Duration // key -> no new attempt before
-	nextRemap time.Duration
-	jitter    time.Duration
+	claims  map[string]*Claim
+	leaving map[string]uint64 // class -> term that is being handed over
+	// unanswered: the last renewal got no answer, and may have been executed.
+	unanswered bool
+	wish       string                   // who should follow in a handover
+	busy       map[string]time.Duration // key -> no new attempt before
+	nextRemap  time.Duration
+	jitter     time.Duration
 
 	promisedUntil time.Duration            // we claim nothing before this
 	promises      map[string]time.Duration // peers' promises to us, until
@@ -193,6 +196,18 @@
 	return true
 }
 
+// ActUntil is until when an owner that may answer now may do so, as far as is known.
+func (n *Node) ActUntil() time.Duration {
+	if n.LeaseValid() {
+		return n.leaseEnd
+	}
+	until := n.now + limits.PromiseLife
+	for _, o := range n.others {
+		until = min(until, n.promises[o]-limits.LeaseMargin)
+	}
+	return until
+}
+
 // Owner names the node that workers of a class should report to.
 func (n *Node) Owner(class string) string {
 	if r, ok := n.owns[class]; ok {
@@ -325,9 +340,22 @@
 		})
 		return
 	}
+	// Guards against a node that the state service hears but that gets no answers:
+	// its renewals kept alive a lease under which it dared not act, so nobody did.
+	// Once the lease may be over it asks before it renews.
+	if n.unanswered && !n.LeaseValid() {
+		n.store.Get(statestore.Lease, limits.StoreTimeout, keyLeader, func(r statestore.Reply) {
+			n.leasing = false
+			if r.Status == statestore.OK || r.Status == statestore.NotFound {
+				n.unanswered, n.nextRenew = false, 0
+			}
+		})
+		return
+	}
 	lease := n.lease
 	n.store.Renew(lease, func(r statestore.Reply) {
 		n.leasing = false
+		n.unanswered = r.Status == statestore.NoAnswer
 		if lease != n.lease {
 			return
 		}
@@ -420,8 +448,10 @@
 
 // HandOver gives all classes to another node, for an owner that its workers
 // can't reach: it stops acting in this step, and names its successor itself, since
-// the leader sees nothing wrong with it.
-func (n *Node) HandOver() {
+// the leader sees nothing wrong with it. wish is the node that workers reach, or
+// empty if none is known.
+func (n *Node) HandOver(wish string) {
+	n.wish = wish
 	next := n.successor()
 	if next == "" || !n.LeaseValid() {
 		return
@@ -433,8 +463,12 @@
 	n.dropClaims()
 }
 
-// successor is the live node that follows this one in the order of names.
+// successor is the live node that workers reach, if one is known, else the one that
+// follows this one in the order of names.
 func (n *Node) successor() string {
+	if _, alive := n.nodes[n.wish]; alive && n.wish != n.Name {
+		return n.wish
+	}
 	first, next := "", ""
 	for name := range n.nodes {
 		if name == n.Name {
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -185,6 +185,11 @@
 	s.queued++
 }
 
+// Advance lets time pass without doing anything about it. Guards against a node that
+// stood still for a moment: its renewal was dated back and dropped unsent as too old,
+// and the lease, which it could have saved, ended.
+func (s *Store) Advance(now time.Duration) { s.now = max(s.now, now) }
+
 // Tick advances time and sends what the budget allows.
 func (s *Store) Tick(now time.Duration) []Call {
 	if now > s.now {
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -41,13 +41,18 @@
 	Unsure  map[uint64]bool
 	Held    map[string]bool // tasks with an ended attempt that is not cleared yet
 
+	// Asked directly in its silence: when next, with which session, and whether the
+	// last question got no answer.
+	AskAt      time.Duration
+	AskSession uint64
+	Mute       bool
+
 	reportSeq uint64 // of the last report; Seq may be that of an order's answer
 
 	Tasks  []wire.TaskReport // as last reported
 	Images map[string]bool   // images of tasks placed here; true once one of them ran
 
-	Strikes  int             // failed tasks since the last success
-	StruckBy map[string]bool // jobs that these belong to
+	Struck map[string]int // failed tasks since the last success, by job
 }
 
 // Pool is the slice's state.
@@ -88,7 +93,7 @@
 	m := p.Machines[id]
 	if m == nil {
 		m = &Machine{ID: id, Class: class, Zone: zone, Spot: spot, Answered: since, Heard: since,
-			Images: map[string]bool{}, StruckBy: map[string]bool{},
+			Images: map[string]bool{}, Struck: map[string]int{},
 			Direct: map[uint64]time.Duration{}, Unsure: map[uint64]bool{}, Held: map[string]bool{}}
 		p.Machines[id] = m
 		p.sorted = nil
@@ -143,7 +148,7 @@
 	m.reportSeq = r.Seq
 	m.Address, m.Class, m.Zone, m.Spot = r.Address, r.Type, r.Zone, r.Spot
 	m.Session, m.Seq = r.Session, r.Seq
-	m.Heard, m.Answered, m.Lost = now, now, false
+	m.Heard, m.Answered, m.Lost, m.Mute = now, now, false, false
 	m.recall(now, r)
 	if r.Token != term {
 		m.Adopted = false
@@ -165,6 +170,35 @@
 	return true
 }
 
+// HearAsked takes in the report that answers a question under a term of ours. With
+// our term as its highest token and the session that was asked, its list is all
+// there is, as in Hear; it renews no lease. Otherwise it tells the session to ask
+// with. It tells whether the list counts.
+func (p *Pool) HearAsked(now time.Duration, m *Machine, r *wire.Report, term, session uint64) bool {
+	if r.Token > term || m.Lost {
+		return false
+	}
+	m.Mute = false
+	if r.Token != term || r.Session != session {
+		m.AskSession, m.AskAt = r.Session, now
+		return false
+	}
+	if m.Term != term {
+		m.Term, m.Adopted, m.Session, m.Seq, m.reportSeq = term, false, 0, 0, 0
+	}
+	if r.Session < m.Session || (r.Session == m.Session && r.Seq <= m.Seq) {
+		return false
+	}
+	if r.Session != m.Session {
+		clear(m.Direct)
+		clear(m.Unsure)
+		m.reportSeq = 0
+	}
+	m.Adopted, m.Session, m.Seq, m.Heard, m.Tasks = true, r.Session, r.Seq, now, r.Tasks
+	m.recall(now, r)
+	return true
+}
+
 // recall follows the cloud's notices.
 func (m *Machine) recall(now time.Duration, r *wire.Report) {
 	if r.RecallS != nil {
