Owners know which jobs are cancelled, or stop answering workers

Cause: the state service refuses the owner alone, a peer confirms cancellations, then the service is out for all for longer than cancel_s.

A node that tells a user of a cancellation passes it straight to the owners, until they acknowledge it. Each promise carries the cancellations that the promiser knows, whether these are all that it and its earlier lives told, and how far its mirror reaches. An owner keeps the time up to which it knows all of them, and answers workers only while that lies less than cancel_s, less their lease and a margin, back.

Ruled out: to confirm only once the owner has acknowledged, which leaves users without an answer while nodes are cut off from each other.

The tests' world learns late and unanswered transactions, mute machines, copies kept for the next owner, looks at all nodes, cancellations at the end, odd submissions, what peers say, and counts jobs left waiting though there is room.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -75,7 +75,9 @@
 			}
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
-			return controller.NewServer(set, ops, logger(errOut)).Run(ctx)
+			node := controller.NewServer(set, ops, logger(errOut))
+			node.FitMachine()
+			return node.Run(ctx)
 		}}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.CompletionOptions.DisableDefaultCmd = true
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -3,6 +3,8 @@
 package controller
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -62,13 +64,10 @@
 		Status int
 		Body   []byte
 	}
-	// PeerReply is a peer's answer to a PeerCall.
+	// PeerReply is a peer's answer to a PeerCall; the empty one stands for none.
 	PeerReply struct {
-		Peer    string
-		Sent    time.Duration
-		Probe   bool
-		Visited bool
-		Yes     bool
+		Call   PeerCall
+		Answer PeerAnswer
 	}
 	// PeerRequest is a peer's PeerCall as it arrives here.
 	PeerRequest struct {
@@ -102,16 +101,28 @@
 	}
 )
 
-// PeerMessage is what controllers tell each other: counts for display, the wish
-// for a promise not to take over the given terms, or the question whether the
-// peer reaches the state service, or whether workers of others come to it.
+// PeerMessage is what controllers tell each other: counts for display, cancellations
+// that users were told, the wish for a promise not to take over the given terms, or the
+// question whether the peer reaches the state service, or whether workers of others
+// come to it.
 type PeerMessage struct {
-	From    string
-	Probe   bool
-	Visited bool
-	Promise bool
-	Terms   map[string]uint64
-	Counts  map[string][2]int
+	From      string
+	Probe     bool
+	Visited   bool
+	Promise   bool
+	Terms     map[string]uint64
+	Counts    map[string][2]int
+	Cancelled []string
+}
+
+// PeerAnswer answers a PeerMessage. Where a promise was wished for, it also carries the
+// cancellations that the peer knows: Vouch tells that these are all that it, or an
+// earlier life of it, told users, and all that anybody was told up to Behind before.
+type PeerAnswer struct {
+	Yes       bool
+	Vouch     bool
+	Behind    time.Duration
+	Cancelled []string
 }
 
 const (
@@ -192,6 +203,9 @@
 	othersReach time.Duration
 	nextUse     time.Duration
 	told        map[string][2]int
+	// notices are cancellations of which the owners of classes were not told yet.
+	notices     map[string]map[string]bool
+	nextNotice  time.Duration
 	relief      map[string]bool // classes whose machines keep small tasks off scarce ones
 	typesSaved  map[string]bool
 	savingTypes bool
@@ -204,7 +218,7 @@
 func NewCore(set *config.Settings, ops *config.Operator, now Now, random uint64) *Core {
 	c := &Core{set: set, ops: ops, now: now, teams: map[string]*config.Team{},
 		active: map[string]uint64{}, reported: map[attempt]bool{}, numbers: map[uint64]bool{}, orders: map[uint64]*order{}, claimed: map[string]*claimed{}, on: map[string]*host{}, booked: map[string]map[string]booking{}, roster: map[string]rosterEntry{},
-		visits: map[string]time.Duration{}, told: map[string][2]int{}, relief: map[string]bool{}, typesSaved: map[string]bool{}, recorded: map[string]bool{}, waiting: map[string]bool{}}
+		visits: map[string]time.Duration{}, told: map[string][2]int{}, notices: map[string]map[string]bool{}, relief: map[string]bool{}, typesSaved: map[string]bool{}, recorded: map[string]bool{}, waiting: map[string]bool{}}
 	for i := range set.Cluster.Teams {
 		c.teams[set.Cluster.Teams[i].Name] = &set.Cluster.Teams[i]
 	}
@@ -214,7 +228,8 @@
 	for _, p := range set.Others {
 		others = append(others, p.Label)
 	}
-	c.own = ownership.New(set.Label, others, random, now.Steady, c.store, c.log)
+	blind := ownership.Blind(seconds(cl.Workers.CancelS), seconds(cl.Workers.LeaseS))
+	c.own = ownership.New(set.Label, others, random, now.Steady, blind, c.store, c.log)
 	c.book = jobs.New(c.store, c.own.Guard, c.log)
 	c.records = statestore.NewPack(c.store, keyRoster, c.own.Guard, c.applyRoster)
 	c.pool = workers.New(cl.Workers.LeaseS, cl.Workers.ReportS)
@@ -225,6 +240,8 @@
 	return c
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 func (c *Core) log(level, msg string, args ...any) {
 	c.out = append(c.out, Log{level, msg, args})
 }
@@ -263,16 +280,7 @@
 	case CloudReply:
 		c.fleet.Reply(t, x.ID, x.Status, x.Body)
 	case PeerReply:
-		switch {
-		case x.Visited:
-			if x.Yes {
-				c.visits[x.Peer] = t
-			}
-		case !x.Probe:
-			c.own.Promised(x.Peer, x.Sent, x.Yes)
-		case x.Yes:
-			c.othersReach = t
-		}
+		c.peerAnswered(x)
 	case PeerRequest:
 		c.peer(x)
 	}
@@ -326,6 +334,7 @@
 	}
 	c.book.Tick(t, c.now.Unix, may && len(c.active) > 0, func(j *jobs.Job) bool { return !j.Frozen })
 	c.tellPeers()
+	c.tellOwners()
 	for _, call := range c.store.Tick(t) {
 		c.out = append(c.out, call)
 	}
@@ -648,20 +657,91 @@
 
 func (c *Core) peer(x PeerRequest) {
 	if x.Msg.Probe {
-		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: c.store.Mirror.Loaded && !c.store.Down()})
+		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: PeerAnswer{Yes: c.store.Mirror.Loaded && !c.store.Down()}})
 		return
 	}
 	if x.Msg.Visited {
-		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: c.lastVisit > 0 && c.now.Steady-c.lastVisit < limits.VisitedFor})
+		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: PeerAnswer{Yes: c.lastVisit > 0 && c.now.Steady-c.lastVisit < limits.VisitedFor}})
 		return
 	}
 	if x.Msg.Promise {
-		yes := c.own.AskPromise(c.now.Steady, x.Msg.Terms)
-		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: yes})
+		a := PeerAnswer{Yes: c.own.AskPromise(c.now.Steady, x.Msg.Terms), Vouch: c.store.Mirror.Loaded, Behind: c.now.Steady - c.store.Mirror.Known}
+		if a.Vouch {
+			a.Cancelled = c.book.Cancellations()
+		}
+		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: a})
 		return
 	}
+	c.learn(x.Msg.Cancelled)
 	for id, v := range x.Msg.Counts {
 		c.book.Shown(id, v[0], v[1])
 	}
-	c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: true})
+	c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: PeerAnswer{Yes: true}})
+}
+
+// peerAnswered takes in what came of a message to a peer.
+func (c *Core) peerAnswered(x PeerReply) {
+	peer, a := x.Call.Peer, x.Answer
+	switch m := x.Call.Msg; {
+	case m.Visited:
+		if a.Yes {
+			c.visits[peer] = c.now.Steady
+		}
+	case m.Probe:
+		if a.Yes {
+			c.othersReach = c.now.Steady
+		}
+	case m.Promise:
+		c.learn(a.Cancelled)
+		c.own.Vouched(peer, x.Call.Sent, a.Vouch, a.Behind)
+		c.own.Promised(peer, x.Call.Sent, a.Yes)
+	case a.Yes:
+		for _, id := range m.Cancelled {
+			delete(c.notices[peer], id)
+		}
+	}
+}
+
+// learn takes in cancellations that a peer knows of.
+func (c *Core) learn(ids []string) {
+	if c.book.Learn(c.now.Steady, ids) {
+		c.dirty, c.regroup = true, true
+	}
+}
+
+// tellOwners passes cancellations that became known here straight to the owners of
+// classes, until they acknowledge them: an owner that the state service refuses can't
+// see them, and goes on starting tasks of those jobs.
+func (c *Core) tellOwners() {
+	t := c.now.Steady
+	if ids := c.book.News(); len(ids) > 0 {
+		for owner := range c.own.Owners() {
+			if owner == c.set.Label {
+				continue
+			}
+			if c.notices[owner] == nil {
+				c.notices[owner] = map[string]bool{}
+			}
+			for _, id := range ids {
+				c.notices[owner][id] = true
+			}
+		}
+		c.nextNotice = t
+	}
+	if t < c.nextNotice {
+		return
+	}
+	c.nextNotice = t + limits.PromiseEvery
+	owners := c.own.Owners()
+	for _, p := range c.set.Others {
+		ids := c.notices[p.Label]
+		if len(ids) == 0 {
+			continue
+		}
+		if !owners[p.Label] { // its successor has read them
+			delete(c.notices, p.Label)
+			continue
+		}
+		c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.set.Label, Cancelled: slices.Sorted(maps.Keys(ids))}})
+	}
 }
--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -139,11 +139,11 @@
 	if asked != 2 {
 		t.Errorf("%d peers asked", asked)
 	}
-	c.Step(now, PeerReply{Peer: "node-1", Probe: true, Yes: false})
+	c.Step(now, PeerReply{Call: PeerCall{Peer: "node-1", Msg: PeerMessage{Probe: true}}})
 	if a := answerOf(t, c.Step(now, Ready{Ref: 3})); a.Status != 200 {
 		t.Errorf("out of reach for all: %d", a.Status)
 	}
-	c.Step(now, PeerReply{Peer: "node-2", Probe: true, Yes: true})
+	c.Step(now, PeerReply{Call: PeerCall{Peer: "node-2", Msg: PeerMessage{Probe: true}}, Answer: PeerAnswer{Yes: true}})
 	if a := answerOf(t, c.Step(now, Ready{Ref: 4})); a.Status != 503 {
 		t.Errorf("out of reach for this node alone: %d", a.Status)
 	}
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -13,13 +13,13 @@
 // Peer is the net/rpc service that controllers offer each other.
 type Peer struct{ s *Server }
 
-// Tell takes a message and says yes or no to it.
-func (p *Peer) Tell(m PeerMessage, yes *bool) error {
+// Tell takes a message and answers it.
+func (p *Peer) Tell(m PeerMessage, answer *PeerAnswer) error {
 	a, ok := p.s.ask(func(ref uint64) any { return PeerRequest{ref, m} }, limits.PeerTimeout)
 	if !ok {
 		return errors.New("no answer from the loop")
 	}
-	*yes, _ = a.Body.(bool)
+	*answer, _ = a.Body.(PeerAnswer)
 	return nil
 }
 
@@ -50,11 +50,11 @@
 	calls  int
 }
 
-func (p *peer) call(m PeerMessage) (yes bool, err error) {
+func (p *peer) call(m PeerMessage) (answer PeerAnswer, err error) {
 	p.mu.Lock()
 	if p.calls >= limits.PeerCalls {
 		p.mu.Unlock()
-		return false, errors.New("peer is slow")
+		return answer, errors.New("peer is slow")
 	}
 	p.calls++
 	defer func() { p.mu.Lock(); p.calls--; p.mu.Unlock() }()
@@ -62,7 +62,7 @@
 		p.mu.Unlock()
 		c, err := net.DialTimeout("tcp4", p.addr, limits.PeerTimeout)
 		if err != nil {
-			return false, err
+			return answer, err
 		}
 		p.mu.Lock()
 		if p.client == nil {
@@ -73,7 +73,8 @@
 	}
 	client := p.client
 	p.mu.Unlock()
-	done := client.Go("Peer.Tell", m, &yes, make(chan *rpc.Call, 1)).Done
+	into := new(PeerAnswer)
+	done := client.Go("Peer.Tell", m, into, make(chan *rpc.Call, 1)).Done
 	t := time.NewTimer(limits.PeerTimeout)
 	defer t.Stop()
 	select {
@@ -81,7 +82,7 @@
 		err = call.Error
 	case <-t.C:
 		// The late answer writes to a variable that nobody reads any more.
-		yes, err = false, errors.New("no answer")
+		err = errors.New("no answer")
 	}
 	if err != nil {
 		p.mu.Lock()
@@ -90,9 +91,9 @@
 		}
 		p.mu.Unlock()
 		client.Close()
-		return false, err
+		return PeerAnswer{}, err
 	}
-	return yes, nil
+	return *into, nil
 }
 
 func (s *Server) callPeer(x PeerCall) {
@@ -100,12 +101,11 @@
 	if p == nil {
 		return
 	}
-	yes, err := p.call(x.Msg)
+	answer, err := p.call(x.Msg)
 	if err != nil {
 		s.log.Debug("peer not reached", "peer", x.Peer, "error", err)
-		yes = false
 	}
-	if x.Msg.Promise || x.Msg.Probe || x.Msg.Visited {
-		s.send(event{in: PeerReply{Peer: x.Peer, Sent: x.Sent, Probe: x.Msg.Probe, Visited: x.Msg.Visited, Yes: yes}})
+	if x.Msg.Counts == nil {
+		s.send(event{in: PeerReply{Call: x, Answer: answer}})
 	}
 }
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -95,11 +95,15 @@
 	return Now{Steady: t.Sub(s.start), Unix: float64(t.UnixNano()) / 1e9}
 }
 
-// Run serves until the context ends or a socket fails.
-func (s *Server) Run(ctx context.Context) error {
-	// One thread runs at a time on these machines, and memory is scarce.
+// FitMachine fits the process to the machine that the settings tell of: one thread
+// runs at a time there, and memory is scarce.
+func (s *Server) FitMachine() {
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(s.set.Cluster.Resources.RAMMB * (1 << 20) * limits.MemoryUse))
+}
+
+// Run serves until the context ends or a socket fails.
+func (s *Server) Run(ctx context.Context) error {
 	var cancel context.CancelFunc
 	s.ctx, cancel = context.WithCancel(ctx)
 	defer cancel()
--- a/internal/controller/world_machines_test.go
+++ b/internal/controller/world_machines_test.go
@@ -117,6 +117,7 @@
 	born     time.Duration
 	up, gone bool
 	hung     bool
+	mute     bool // reaches no controller
 	wakeups  []func()
 	sick     bool
 	recall   time.Duration
@@ -242,13 +243,21 @@
 	body := pack(m.message())
 	session := m.session
 	n := w.nodes[m.node]
-	serve := func(answer func(int, []byte)) {
+	deliver := func(n *simNode, answer func(int, []byte)) {
 		r := &wire.Report{}
 		if err := wire.Decode(body, r); err != nil {
 			panic(err)
 		}
 		n.ask(func(ref uint64) any { return Checkin{ref, r} }, answer)
 	}
+	serve := func(answer func(int, []byte)) {
+		if !m.mute {
+			deliver(n, answer)
+		}
+	}
+	if w.chance(w.keep) {
+		w.kept = append(w.kept, func(n *simNode) { deliver(n, func(int, []byte) {}) })
+	}
 	if w.chance(w.copies) { // seconds to well over a lease late
 		w.after(w.between(1, 2.5*w.cfg.lease), func() { serve(func(int, []byte) {}) })
 	}
@@ -370,6 +379,9 @@
 	w := m.w
 	t.began = w.now
 	w.starts++
+	if j.began == 0 {
+		j.began = w.now
+	}
 	m.changed()
 	if j.done[n] { // its result is kept: it exits at once
 		t.state, t.cause = wire.TaskEnded, wire.CauseDone
@@ -395,6 +407,9 @@
 				if !j.done[n] {
 					j.done[n] = true
 					j.doneCount++
+					if j.doneCount == j.tasks && w.chance(w.atEnd) {
+						w.cancel(j)
+					}
 				}
 			}
 			m.changed()
--- a/internal/controller/world_state_test.go
+++ b/internal/controller/world_state_test.go
@@ -42,6 +42,9 @@
 	watches  []*simWatch
 	outage   bool
 	refuse   map[int]bool // nodes that get 503 although others are served
+	late     float64      // part of transactions that get no answer and are carried out later
+	unsaid   float64      // part of transactions that are carried out and get no answer
+	slow     float64      // most seconds that a request waits before it is looked at
 }
 
 func (s *simStore) setOutage(on bool) {
@@ -164,7 +167,14 @@
 			answer(404, pack(map[string]any{"ledger": s.revision}))
 		}
 	case u.Path == "/multi":
-		answer(s.txn(body))
+		switch {
+		case s.w.chance(s.late):
+			s.w.after(s.w.between(2, 12), func() { s.afterOutage(body) })
+		case s.w.chance(s.unsaid):
+			s.txn(body)
+		default:
+			answer(s.txn(body))
+		}
 	case u.Path == "/leases":
 		var l wire.LeaseRequest
 		if wire.Decode(body, &l) != nil || l.TTLMs < 100 {
@@ -203,6 +213,16 @@
 	}
 }
 
+// afterOutage carries out a transaction whose sender has long given it up.
+func (s *simStore) afterOutage(body []byte) {
+	if s.outage {
+		s.w.after(time.Second, func() { s.afterOutage(body) })
+		return
+	}
+	s.expire()
+	s.txn(body)
+}
+
 type rawOp struct {
 	Put    string             `msgpack:"put"`
 	Remove string             `msgpack:"remove"`
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -32,13 +32,20 @@
 	broken   []string // rules broken
 	starts   int
 
-	lag      float64            // most seconds that an ordinary message takes
-	copies   float64            // part of reports of which a copy comes late
-	calm     time.Duration      // when all troubles are over; 0: not yet known
-	repeats  float64            // part of orders that come twice
-	slow     float64            // part of messages that take long
-	lost     float64            // part of messages that are lost
-	cut      map[[2]string]bool // links that hold packets back
+	lag      float64 // most seconds that an ordinary message takes
+	copies   float64 // part of reports of which a copy comes late
+	keep     float64 // part of reports of which a copy is kept for the next owner
+	kept     []func(n *simNode)
+	newest   uint64                                                  // the highest term that anybody acted on
+	memory   bool                                                    // nodes answer questions from what they remember, which is wrong
+	looks    bool                                                    // users look at all nodes after each thing they were told
+	atEnd    float64                                                 // part of jobs that are called off as their last task ends
+	gossip   func(from *simNode, m *PeerMessage, a *PeerAnswer) bool // may change or drop what peers say
+	calm     time.Duration                                           // when all troubles are over; 0: not yet known
+	repeats  float64                                                 // part of orders that come twice
+	slow     float64                                                 // part of messages that take long
+	lost     float64                                                 // part of messages that are lost
+	cut      map[[2]string]bool                                      // links that hold packets back
 	held     map[[2]string][]func()
 	trace    func(string, ...any)
 	sabotage func(*Core) // breaks a core on purpose, to see the rules catch it
@@ -89,6 +96,7 @@
 	for _, n := range w.nodes {
 		n.boot()
 	}
+	w.audit()
 	return w
 }
 
@@ -318,7 +326,17 @@
 			}
 		}
 	}()
+	if q, ok := in.(Query); ok && n.w.memory {
+		n.send([]any{n.fromMemory(q)})
+		return
+	}
 	out := n.core.Step(n.clock(), in)
+	for _, term := range n.core.active {
+		if term > n.w.newest {
+			n.w.newest = term
+			n.w.deliverKept()
+		}
+	}
 	if n.caught {
 		n.caught = false
 		n.queued = append([]func(){func() { n.send(out) }}, n.queued...)
@@ -327,6 +345,18 @@
 	n.send(out)
 }
 
+// fromMemory answers a question without asking the state service.
+func (n *simNode) fromMemory(q Query) Answer {
+	j := n.core.book.Open[q.ID]
+	switch {
+	case j == nil:
+		return Answer{Ref: q.Ref, Status: 404}
+	case j.Cancelled:
+		return Answer{Ref: q.Ref, Status: 200, Body: wire.JobStatus{ID: q.ID, Status: wire.StatusCancelled}}
+	}
+	return Answer{Ref: q.Ref, Status: 200, Body: wire.JobStatus{ID: q.ID, Status: wire.StatusRunning}}
+}
+
 // send carries out what a step returned.
 func (n *simNode) send(out []any) {
 	life := n.life
@@ -352,7 +382,9 @@
 		case statestore.Call:
 			body := pack(x.Body)
 			n.w.call(n.label, "state", x.Timeout,
-				func(answer func(int, []byte)) { n.w.store.serve(n.idx, x.Method, x.Path, body, answer) },
+				func(answer func(int, []byte)) {
+					n.w.after(n.w.between(0, n.w.store.slow), func() { n.w.store.serve(n.idx, x.Method, x.Path, body, answer) })
+				},
 				func(status int, b []byte) {
 					if alive() {
 						n.step(StoreReply{x.ID, status, b})
@@ -388,6 +420,9 @@
 				n.w.after(n.w.between(0, 3*n.w.cfg.lease), func() { serve(func(int, []byte) {}) })
 			}
 		case PeerCall:
+			if n.w.gossip != nil && !n.w.gossip(n, &x.Msg, nil) {
+				continue
+			}
 			for _, p := range n.w.nodes {
 				if p.label != x.Peer {
 					continue
@@ -397,12 +432,15 @@
 						p.ask(func(ref uint64) any { return PeerRequest{ref, x.Msg} }, answer)
 					},
 					func(status int, b []byte) {
-						var yes bool
-						if status == 200 && wire.Decode(b, &yes) != nil {
-							yes = false
+						var a PeerAnswer
+						if status == 200 && wire.Decode(b, &a) != nil {
+							a = PeerAnswer{}
+						}
+						if n.w.gossip != nil && !n.w.gossip(n, &x.Msg, &a) {
+							a = PeerAnswer{}
 						}
-						if alive() && (x.Msg.Promise || x.Msg.Probe || x.Msg.Visited) {
-							n.step(PeerReply{Peer: x.Peer, Sent: x.Sent, Probe: x.Msg.Probe, Visited: x.Msg.Visited, Yes: yes})
+						if alive() && x.Msg.Counts == nil {
+							n.step(PeerReply{Call: x, Answer: a})
 						}
 					})
 			}
--- a/internal/controller/world_users_test.go
+++ b/internal/controller/world_users_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"testing"
 	"time"
 
 	"umberpaddle/internal/wire"
@@ -23,6 +24,10 @@
 	cancelAsk bool
 	cancelled time.Duration // when told cancelled
 	lastPoll  time.Duration
+	body      []byte
+	asked     time.Duration // when its acceptance was told
+	began     time.Duration // when its first task began
+	fits      time.Duration // when it last could not have begun, or had something running
 }
 
 func (w *world) user(id string, spec map[string]any, run float64) *simJob {
@@ -30,6 +35,7 @@
 	j := &simJob{id: id, spec: spec, team: spec["crew"].(string), cores: spec["cores"].(float64), tasks: int(spec["sheets"].(int)), run: run, done: map[int]bool{}}
 	w.jobs[id] = j
 	body := pack(spec)
+	j.body = body
 	var submit func()
 	began := w.now
 	submit = func() {
@@ -40,7 +46,10 @@
 		}, func(status int, b []byte) {
 			switch status {
 			case 200, 201:
-				j.accepted = true
+				if !j.accepted {
+					j.accepted, j.asked = true, w.now
+					w.look(j)
+				}
 				if told == j.told {
 					w.judge(j, status, b)
 				}
@@ -81,9 +90,13 @@
 }
 
 func (w *world) cancel(j *simJob) {
+	w.cancelAt(j, w.nodes[w.rng.IntN(len(w.nodes))], func() { w.cancel(j) })
+}
+
+// cancelAt cancels a job at a node; without an answer, again does so once more.
+func (w *world) cancelAt(j *simJob, n *simNode, again func()) {
 	j.cancelAsk = true
 	accepted := j.accepted
-	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	w.call("users", n.label, 5*time.Second, func(answer func(int, []byte)) {
 		n.ask(func(ref uint64) any { return Cancel{ref, j.id} }, answer)
 	}, func(status int, b []byte) {
@@ -94,7 +107,7 @@
 		if status == 404 && accepted {
 			w.break_("forgotten", "cancellation of %s got 404", j.id)
 		}
-		w.after(w.between(1, 2), func() { w.cancel(j) })
+		w.after(w.between(1, 2), again)
 	})
 }
 
@@ -122,6 +135,7 @@
 		return
 	}
 	j.lastPoll = w.now
+	was := j.told
 	if j.told != "" && s.Status != j.told {
 		w.break_("went_back", "%s was %s, is %s", j.id, j.told, s.Status)
 	}
@@ -141,6 +155,148 @@
 		}
 		j.told = s.Status
 	}
+	if was != j.told {
+		w.look(j)
+	}
+}
+
+// look lets users ask at all nodes within milliseconds after they were told something
+// of a job, and repeat the submission and the cancellation.
+func (w *world) look(j *simJob) {
+	if !w.looks {
+		return
+	}
+	for _, n := range w.nodes {
+		for _, repeat := range []bool{false, true, false} {
+			w.after(w.between(0, 0.01), func() {
+				told := j.told
+				w.call("users", n.label, 2*time.Second, func(answer func(int, []byte)) {
+					n.ask(func(ref uint64) any {
+						if repeat {
+							return Submit{ref, j.body}
+						}
+						return Query{ref, j.id}
+					}, answer)
+				}, func(status int, b []byte) {
+					switch {
+					case status == 400 || status == 422 || status == 201:
+						w.break_("forgotten", "repeated submission of %s got %d", j.id, status)
+					case (status == 200 || status == 404) && told == j.told:
+						w.judge(j, status, b)
+					}
+				})
+			})
+		}
+	}
+	if j.told != "" && w.chance(0.3) {
+		w.cancel(j)
+	}
+}
+
+// odd sends what users should not: jobs that fit no machine or lack a field, and
+// cancellations of what is over or unknown.
+func (w *world) odd() {
+	id := fmt.Sprintf("job-8%05d", w.rng.IntN(100000))
+	spec := map[string]any{"id": id, "docket": "x", "crew": "blue", "form": "batch", "urgency": "standard", "sheets": 2,
+		"cores": 1.0, "accelerators": 0.0, "ramGb": 1.0, "loaners": true, "reckonS": 5.0}
+	want := 400
+	switch w.rng.IntN(5) {
+	case 0:
+		spec["cores"], want = 1000.0, 422
+	case 1:
+		spec["crew"], want = "nobody", 422
+	case 2:
+		delete(spec, "sheets")
+	case 3:
+		spec["form"] = "choir"
+	case 4:
+		spec["sheets"] = -1
+	}
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	body := pack(spec)
+	w.call("users", n.label, 5*time.Second, func(answer func(int, []byte)) {
+		n.ask(func(ref uint64) any { return Submit{ref, body} }, answer)
+	}, func(status int, _ []byte) {
+		if status != want && status != 503 && status != 429 && status != 0 {
+			w.break_("odd", "%v got %d", spec, status)
+		}
+	})
+	for _, id := range sortedKeys(w.jobs) {
+		if j := w.jobs[id]; j.told == wire.StatusDone && w.chance(0.2) {
+			w.cancelAt(j, n, func() {})
+			break
+		}
+	}
+}
+
+// audit looks once a second at what no single event shows.
+func (w *world) audit() {
+	for _, id := range sortedKeys(w.jobs) {
+		j := w.jobs[id]
+		if j.told == wire.StatusCancelled && w.now > j.cancelled+time.Duration(w.cfg.cancel*float64(time.Second)) {
+			w.checkCancelled(j)
+		}
+		if w.calm == 0 || !j.accepted || j.told != "" || j.cancelAsk || j.bad || j.doneCount == j.tasks || !w.couldBegin(j) {
+			j.fits = w.now
+			continue
+		}
+		if since := max(w.calm, j.fits); w.now-since > 90*time.Second {
+			w.break_("left_waiting", "%s, of whose %d tasks %d are done", j.id, j.tasks, j.doneCount)
+		}
+	}
+	w.after(time.Second, w.audit)
+}
+
+// couldBegin tells whether a job has nothing on any machine although one that it
+// allows has room for a task and its team is under its limit.
+func (w *world) couldBegin(j *simJob) bool {
+	room, used := false, 0.0
+	for _, m := range w.created {
+		if m.gone || !m.up {
+			continue
+		}
+		for _, t := range m.tasks {
+			if t.job == j && t.state != wire.TaskEnded {
+				return false
+			}
+			if t.job.team == j.team && t.state != wire.TaskEnded {
+				used += t.job.cores
+			}
+		}
+		types, some := j.spec["builds"].([]string)
+		zone, bound := j.spec["valley"].(string)
+		if some && !contains(types, m.kind.Class) || bound && zone != m.kind.Zone || m.kind.Spot && j.spec["loaners"] != true {
+			continue
+		}
+		cpu, mem := m.free()
+		room = room || !m.hung && !m.sick && m.recall == 0 && cpu >= j.cores && mem >= j.spec["ramGb"].(float64)
+	}
+	for _, t := range w.cfg.teams {
+		if t.Name == j.team && t.CPUsMax > 0 && used+j.cores > t.CPUsMax {
+			return false
+		}
+	}
+	return room
+}
+
+// mustServe checks that everybody's jobs began within four minutes of their acceptance.
+func (w *world) mustServe(t *testing.T) {
+	t.Helper()
+	for _, id := range sortedKeys(w.jobs) {
+		if j := w.jobs[id]; j.accepted && !j.cancelAsk && (j.began == 0 || j.began-j.asked > 4*time.Minute) {
+			t.Errorf("%s, accepted at %v, began at %v", id, j.asked, j.began)
+		}
+	}
+}
+
+// deliverKept brings copies of old reports to every node as a new owner begins.
+func (w *world) deliverKept() {
+	for _, f := range w.kept {
+		for _, n := range w.nodes {
+			w.after(w.between(0, 0.2), func() { f(n) })
+		}
+	}
+	w.kept = nil
 }
 
 func onMachine(t *simTask) bool { return t.state == wire.TaskRunning || t.state == wire.TaskSaving }
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -192,6 +192,10 @@
 
 	finals     map[string]final
 	finalOrder []string
+	// told are cancelled jobs that this node tells users of, and since when; news are
+	// those that owners were not told of yet.
+	told map[string]time.Duration
+	news []string
 
 	asks      []*ask
 	pending   []*ask // questions not answered yet, waiting or under way
@@ -216,7 +220,7 @@
 
 // New makes an empty book.
 func New(store *statestore.Store, guard func(class string) wire.Guard, log func(string, string, ...any)) *Book {
-	b := &Book{store: store, guard: guard, log: log, Open: map[string]*Job{}, finals: map[string]final{}, byRef: map[string]*submit{},
+	b := &Book{store: store, guard: guard, log: log, Open: map[string]*Job{}, finals: map[string]final{}, told: map[string]time.Duration{}, byRef: map[string]*submit{},
 		flushAt: map[string]time.Duration{}, orphans: map[string]bool{}, stray: map[string]bool{}, closed: map[string]*Job{}}
 	b.done = statestore.NewPack(store, keyDone, guard, b.applyDone)
 	return b
@@ -302,11 +306,14 @@
 		if _, ok := b.store.Mirror.Get(keyCancel + id); ok {
 			j.Cancelled = true
 		}
+		// Told by users' answers or by a peer before the record came.
+		if b.finals[id].Status == wire.StatusCancelled {
+			j.Cancelled = true
+		}
 	case strings.HasPrefix(c.Key, keyCancel):
 		id := c.Key[len(keyCancel):]
-		if j := b.Open[id]; j != nil && !c.Removed && !j.Cancelled {
-			j.Cancelled = true
-			b.log("info", "job cancelled", "job", id)
+		if !c.Removed {
+			b.markCancelled(id)
 		}
 	case strings.HasPrefix(c.Key, keyProgress):
 		id, part, ok := strings.Cut(c.Key[len(keyProgress):], "/")
@@ -580,6 +587,11 @@
 
 func (b *Book) remember(id string, f final) {
 	if _, ok := b.finals[id]; !ok {
+		if f.Status == wire.StatusCancelled {
+			b.told[id] = b.now
+			b.news = append(b.news, id)
+			b.markCancelled(id)
+		}
 		b.finalOrder = append(b.finalOrder, id)
 		if len(b.finalOrder) > limits.FinalCache {
 			delete(b.finals, b.finalOrder[0])
@@ -589,6 +601,63 @@
 	b.finals[id] = f
 }
 
+func (b *Book) markCancelled(id string) bool {
+	j := b.Open[id]
+	if j == nil || j.Cancelled {
+		return false
+	}
+	j.Cancelled = true
+	b.log("info", "job cancelled", "job", id)
+	return true
+}
+
+// Learn takes in cancellations of which a peer knows that they are recorded. It tells
+// whether any of them is new to this node.
+func (b *Book) Learn(now time.Duration, ids []string) (news bool) {
+	b.now = max(b.now, now)
+	for _, id := range ids {
+		j := b.Open[id]
+		news = news || j != nil && !j.Cancelled
+		if _, ok := b.finals[id]; !ok {
+			f := final{Status: wire.StatusCancelled}
+			if j != nil {
+				f.Done = max(j.DoneCount, j.shownDone)
+			}
+			b.remember(id, f)
+		}
+		b.markCancelled(id)
+	}
+	return news
+}
+
+// Cancellations lists the cancelled jobs that this node knows of and that may still
+// have tasks, with those that it told a user of lately.
+func (b *Book) Cancellations() []string {
+	var ids []string
+	for id, j := range b.Open {
+		if _, told := b.told[id]; j.Cancelled && !told {
+			ids = append(ids, id)
+		}
+	}
+	for id, at := range b.told {
+		if b.now-at > limits.ToldFor {
+			delete(b.told, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// News lists the cancellations that became known here, by an answer to a user or by a
+// peer, since the last call.
+func (b *Book) News() []string {
+	ids := b.news
+	b.news = nil
+	return ids
+}
+
 // Shown records the counts that an owner tells, for display only.
 func (b *Book) Shown(id string, done, running int) {
 	if j := b.Open[id]; j != nil {
--- a/internal/jobs/users.go
+++ b/internal/jobs/users.go
@@ -316,10 +316,6 @@
 		switch r.Status {
 		case statestore.OK:
 			b.remember(a.id, f)
-			if j := b.Open[a.id]; j != nil && !j.Cancelled {
-				j.Cancelled = true
-				b.log("info", "job cancelled", "job", a.id)
-			}
 			a.answer(Answer{Status: 200, Body: wire.JobStatus{ID: a.id, Status: f.Status, Done: f.Done}})
 		case statestore.Conflict:
 			b.readFinal(a)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -47,6 +47,16 @@
 	PromiseLife = 2200 * time.Millisecond
 	// PromiseEvery is how often a suspended owner asks for promises anew.
 	PromiseEvery = 500 * time.Millisecond
+	// CancelMargin is kept of cancel_s, beyond a worker's lease, between the last
+	// answer that an owner gives without knowing of a cancellation and the time at
+	// which its tasks must be gone: timers, and the way to the user.
+	CancelMargin = time.Second
+	// BlindLeast is the least time for which an owner may act without news of
+	// cancellations, whatever cancel_s says: a watch without news, and its repeat.
+	BlindLeast = 2*WatchHold + 2*StoreTimeout
+	// ToldFor is for how long a node passes on a cancellation that it told a user of;
+	// by then every owner has heard of it or has stopped answering.
+	ToldFor = 2 * time.Minute
 	// AloneAfter is how long the state service must be out of this node's reach,
 	// but in a peer's, before this node sends its users to others.
 	AloneAfter = 2 * time.Second
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -83,13 +83,30 @@
 	promisedUntil time.Duration            // we claim nothing before this
 	promises      map[string]time.Duration // peers' promises to us, until
 	nextAsk       time.Duration
+
+	// What is known of cancellations that users were told: vouched is up to when each
+	// peer vouches for its own, heardOf up to when any peer knows everybody's, and
+	// blind for how long this node may go on without knowing.
+	vouched map[string]time.Duration
+	heardOf time.Duration
+	blind   time.Duration
+}
+
+// Blind is for how long an owner may answer workers without knowing of the
+// cancellations that users were told. A worker that it answers at the end of that
+// time keeps its tasks for one lease more, by its own clock.
+func Blind(cancel, lease time.Duration) time.Duration {
+	left := cancel - time.Duration(float64(lease)*(1+limits.ClockDrift)) - limits.CancelMargin
+	return max(time.Duration(float64(left)*(1-limits.ClockDrift)), limits.BlindLeast)
 }
 
-// New makes the slice. inc is a random number that names this process's life.
-func New(name string, others []string, inc uint64, start time.Duration, store *statestore.Store, log func(string, string, ...any)) *Node {
+// New makes the slice. inc is a random number that names this process's life, blind
+// what Blind says of the workers.
+func New(name string, others []string, inc uint64, start, blind time.Duration, store *statestore.Store, log func(string, string, ...any)) *Node {
 	return &Node{Name: name, Inc: inc, store: store, others: others, log: log, now: start, start: start,
 		nodes: map[string]record{}, maps: map[string]record{}, owns: map[string]record{}, last: map[string]string{},
 		ended: map[uint64]bool{}, claims: map[string]*Claim{}, leaving: map[string]uint64{}, busy: map[string]time.Duration{}, promises: map[string]time.Duration{},
+		vouched: map[string]time.Duration{}, blind: blind,
 		jitter: time.Duration(inc % uint64(limits.ElectionJitter))}
 }
 
@@ -179,9 +196,37 @@
 // were recorded before, a successor waits for like any other launch.
 func (n *Node) MayLaunch() bool { return n.MayAnswer() }
 
+// KnowsUntil is up to when this node knows of every cancellation that any user was
+// told: its mirror goes that far, or that of a peer which passed on what it knows, or
+// every peer has vouched for what it told itself. A peer that forgot what its earlier
+// life told, and has not read the records since, vouches for nothing.
+func (n *Node) KnowsUntil() time.Duration {
+	all := n.now
+	for _, o := range n.others {
+		all = min(all, n.vouched[o])
+	}
+	return max(n.store.Mirror.Known, n.heardOf, all)
+}
+
+// Vouched records that a peer, asked at sent, has told us of all cancellations that it
+// told users (all), and of all that anybody told up to behind before its answer.
+func (n *Node) Vouched(peer string, sent time.Duration, all bool, behind time.Duration) {
+	if !all {
+		return
+	}
+	n.vouched[peer] = max(n.vouched[peer], sent)
+	n.heardOf = max(n.heardOf, sent-time.Duration(float64(behind)*(1+limits.ClockDrift)))
+}
+
 // MayAnswer tells whether an owner may answer its workers: its lease is valid,
-// or every peer has promised not to take over.
+// or every peer has promised not to take over, and it knows which jobs are cancelled.
 func (n *Node) MayAnswer() bool {
+	// Guards against an owner that the state service refused alone, while a peer
+	// confirmed cancellations, and that went on under its peers' promises when the
+	// service was then down for all: it kept the cancelled tasks alive.
+	if n.now >= n.KnowsUntil()+n.blind {
+		return false
+	}
 	if n.LeaseValid() {
 		return true
 	}
@@ -198,10 +243,11 @@
 
 // ActUntil is until when an owner that may answer now may do so, as far as is known.
 func (n *Node) ActUntil() time.Duration {
+	knows := n.KnowsUntil() + n.blind
 	if n.LeaseValid() {
-		return n.leaseEnd
+		return min(n.leaseEnd, knows)
 	}
-	until := n.now + limits.PromiseLife
+	until := min(n.now+limits.PromiseLife, knows)
 	for _, o := range n.others {
 		until = min(until, n.promises[o]-limits.LeaseMargin)
 	}
@@ -290,7 +336,8 @@
 
 // WantPromises tells whether peers should be asked for promises now.
 func (n *Node) WantPromises() bool {
-	if len(n.claims) == 0 || !n.store.Down() || n.now < n.nextAsk {
+	blind := n.now-n.KnowsUntil() > n.blind/2
+	if len(n.claims) == 0 || !n.store.Down() && !blind || n.now < n.nextAsk {
 		return false
 	}
 	n.nextAsk = n.now + limits.PromiseEvery
--- a/internal/statestore/mirror.go
+++ b/internal/statestore/mirror.go
@@ -33,17 +33,21 @@
 	keys     map[string]Entry
 	Revision uint64
 	Loaded   bool
-	busy     bool
-	retryAt  time.Duration
-	openAt   time.Duration // no new watch before this
-	load     *loading
-	changes  []Change
+	// Known is the time, at which a request left, up to which every change is in the
+	// mirror.
+	Known   time.Duration
+	busy    bool
+	retryAt time.Duration
+	openAt  time.Duration // no new watch before this
+	load    *loading
+	changes []Change
 }
 
 type loading struct {
 	seen     map[string]bool
 	revision uint64
 	since    string
+	began    time.Duration // when the first page was asked for
 }
 
 func newMirror(s *Store) *Mirror { return &Mirror{s: s, keys: map[string]Entry{}} }
@@ -119,7 +123,7 @@
 	if l.since == "" {
 		// The watch starts from the first page's revision: what changes while
 		// the later pages are read is told again, and versions sort it out.
-		l.revision = rows.Revision
+		l.revision, l.began = rows.Revision, r.SentAt
 	}
 	for _, row := range rows.Rows {
 		l.seen[row.Key] = true
@@ -135,6 +139,7 @@
 		}
 	}
 	m.Revision = l.revision
+	m.Known = max(m.Known, l.began)
 	m.load = nil
 	m.Loaded = true
 }
@@ -161,6 +166,7 @@
 	if w.Revision > m.Revision {
 		m.Revision = w.Revision
 	}
+	m.Known = max(m.Known, r.SentAt)
 }
 
 // Put enters a key that this node has just written, ahead of the watch.
