A session found by asking counts as begun when it is found

A worker that reached nobody began a new session; the new owner asked it directly, found it empty and gave it tasks, and later took the lease of the session before for the end of this one. The bound now starts when the session is found. What is heard only when it is asked gets no new tasks, and counts as up: ten such machines were returned as never come up.

A meeting brings it about, with the guard taken out as well.

--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -357,6 +357,21 @@
 		w.soon(trouble{2 * s, func() { w.callOff(w.nodes[0], w.longest(4)) }}, trouble{5 * s, func() { w.endOwner(2 * s) }})
 		return 40 * s
 	}, without: noCancels, breaks: "ran_cancelled"},
+	{name: "mute for over a lease, asked by a new leader", quiet: true, setup: func(w *world) {
+		for i := 0; i < 30; i++ {
+			w.user(fmt.Sprintf("job-6%05d", i), spec("blue", 5, 4, 60), 60)
+		}
+	}, play: func(w *world) time.Duration {
+		w.someMachines(2, w.muteFor(33*s))
+		w.after(4*s, func() { w.endOwner(2 * s) })
+		return 40 * s
+	}, without: sabotaged(func(c *Core) {
+		for _, m := range c.pool.Machines {
+			if m.Asked && c.tasksOn(m.ID) > 0 {
+				m.Answered = min(m.Answered, c.own.Claims()[m.Class].Since)
+			}
+		}
+	}), breaks: "ran_twice"},
 	{name: "ten leaders in two minutes, some in an outage", play: func(w *world) time.Duration {
 		for i := time.Duration(0); i < 10; i++ {
 			w.after(12*s*i, func() { w.endOwner(w.between(0.1, 6)) })
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"umberpaddle/internal/fleet"
 	"umberpaddle/internal/jobs"
 	"umberpaddle/internal/limits"
 	"umberpaddle/internal/wire"
@@ -172,6 +173,11 @@
 	if !c.pool.HearAsked(c.now.Steady, m, r, o.term, o.session) {
 		return
 	}
+	// Guards against machines that a new owner returned as never come up, with their
+	// tasks, although they had answered it.
+	if rent := c.fleet.Know(m.ID, fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, c.now.Steady); rent != nil {
+		rent.Up = true
+	}
 	c.heard(m, found)
 	c.log("debug", "silent machine answered", "machine", m.ID, "session", r.Session, "tasks", len(r.Tasks))
 	c.dirty = true
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -46,6 +46,7 @@
 	AskAt      time.Duration
 	AskSession uint64
 	Mute       bool
+	Asked      bool // its present session was found by asking, and has sent no report
 
 	reportSeq uint64 // of the last report; Seq may be that of an order's answer
 
@@ -148,7 +149,7 @@
 	m.reportSeq = r.Seq
 	m.Address, m.Class, m.Zone, m.Spot = r.Address, r.Type, r.Zone, r.Spot
 	m.Session, m.Seq = r.Session, r.Seq
-	m.Heard, m.Answered, m.Lost, m.Mute = now, now, false, false
+	m.Heard, m.Answered, m.Lost, m.Mute, m.Asked = now, now, false, false, false
 	m.recall(now, r)
 	if r.Token != term {
 		m.Adopted = false
@@ -193,6 +194,11 @@
 		clear(m.Direct)
 		clear(m.Unsure)
 		m.reportSeq = 0
+		// A session that nobody answered yet may have begun at any time until now, and
+		// lasts for a lease. Guards against tasks that ran twice: a worker that reached
+		// no controller got them directly in its new session, and the old one's lease
+		// was taken for the end of it.
+		m.Answered, m.Asked = now, true
 	}
 	m.Adopted, m.Session, m.Seq, m.Heard, m.Tasks = true, r.Session, r.Seq, now, r.Tasks
 	m.recall(now, r)
@@ -228,7 +234,8 @@
 // Resolved tells whether it is known for certain what the machine holds.
 func (m *Machine) Resolved() bool { return m.Adopted || m.Lost }
 
-// Usable tells whether new tasks may be placed on the machine.
+// Usable tells whether new tasks may be placed on the machine. One that is heard only
+// when it is asked loses them with its lease.
 func (m *Machine) Usable(now time.Duration, report time.Duration) bool {
-	return m.Adopted && !m.Lost && !m.Deleting && !m.Draining && now-m.Heard < 3*report
+	return m.Adopted && !m.Lost && !m.Deleting && !m.Draining && now-m.Heard < 3*report && now-m.Answered < 3*report
 }
