--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -52,6 +52,10 @@
 	out := wire.ReportReply{Token: term, Commands: []wire.Command{}}
 	if v == workers.Current {
 		c.dirty = true
+		if c.mayStartCancelled(m) {
+			reply(503, nil)
+			return
+		}
 		out.Commands = c.sync(m, out.Commands, false)
 		if c.own.MayLaunch() {
 			c.allocateOn(m)
@@ -63,6 +67,22 @@
 	c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: out, Until: c.own.ActUntil()})
 }
 
+// mayStartCancelled tells whether an order that was never answered may still start a
+// task of a job that was cancelled a while ago: only the end of the worker's session,
+// which then is not renewed, makes it void. Guards against an order held up for longer
+// than cancel_s.
+func (c *Core) mayStartCancelled(m *workers.Machine) bool {
+	if len(m.Unsure) == 0 {
+		return false
+	}
+	for _, p := range c.hostOf(m.ID).tasks {
+		if p.job.Cancelled && p.job.Placed[p.task].Told == jobs.Lost && c.now.Steady > p.job.CancelledAt+c.own.Blind {
+			return true
+		}
+	}
+	return false
+}
+
 // attempt names one attempt of a task.
 type attempt struct {
 	id string
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -462,6 +462,21 @@
 		w.soon(trouble{10 * s, func() { w.callOff(w.nodes[0], w.longest(4)) }}, trouble{50 * s, func() { w.slow, w.repeats = 0, 0 }})
 		return 65 * s
 	}, without: lateOrders, breaks: "ran_ in_use quota"},
+	{name: "orders held up for leases, jobs called off", quiet: true, setup: func(w *world) {
+		for i := 0; i < 4; i++ {
+			w.user(fmt.Sprintf("job-3%05d", i), spec("blue", 8, 2, 90), 90)
+		}
+	}, play: func(w *world) time.Duration {
+		w.stray, w.cached = 0.5, true
+		for i := 0; i < 30; i++ {
+			w.after(w.between(0, 10), func() {
+				j := w.user(fmt.Sprintf("job-6%05d", i), spec("blue", 2, 1, 40), 40)
+				w.after(w.between(0.5, 3), func() { w.cancel(j) })
+			})
+		}
+		w.soon(trouble{14 * s, func() { w.stray = 0 }})
+		return 70 * s
+	}, without: sabotaged(func(c *Core) { c.own.Blind = time.Hour }), breaks: "ran_cancelled"},
 	{name: "at the limit, cancelled jobs' machines cut off or hang, the leader changes", setup: atLimit, play: func(w *world) time.Duration {
 		w.someMachines(3, hangFor(11*s))
 		w.someMachines(4, w.deafFor(20*s))
--- a/internal/controller/world_machines_test.go
+++ b/internal/controller/world_machines_test.go
@@ -368,7 +368,11 @@
 			nt.state, nt.cause = wire.TaskEnded, wire.CauseNoRoom
 			return
 		}
-		w.after(w.between(0.1, 2), func() { m.when(func() { m.begin(nt, j, n) }) })
+		fetch := w.between(0.1, 2)
+		if w.cached {
+			fetch = time.Millisecond
+		}
+		w.after(fetch, func() { m.when(func() { m.begin(nt, j, n) }) })
 	}
 }
 
--- a/internal/controller/world_run_test.go
+++ b/internal/controller/world_run_test.go
@@ -84,7 +84,7 @@
 		}
 		node := w.nodes[w.rng.IntN(len(w.nodes))]
 		m := w.liveMachine()
-		switch w.rng.IntN(20) {
+		switch w.rng.IntN(26) {
 		case 0, 1:
 			node.crash(w.between(0.1, 8))
 		case 2:
@@ -150,6 +150,34 @@
 		case 19:
 			w.trace("%s loses its workers", node.label)
 			w.cutWorkers(node, w.now+w.between(2, 30))
+		case 20:
+			w.trace("machines reach no controller")
+			w.someMachines(2, w.muteFor(w.between(5, 35)))
+		case 21:
+			w.trace("transactions are late")
+			w.store.late = 0.3
+			w.after(w.between(3, 20), func() { w.store.late = 0 })
+		case 22:
+			w.trace("answers of the state service are lost")
+			w.store.unsaid = 0.3
+			w.after(w.between(3, 20), func() { w.store.unsaid = 0 })
+		case 23:
+			w.trace("jobs are called off")
+			w.callOff(node, w.longest(4))
+		case 24:
+			w.trace("reports are kept for the next owner")
+			w.keep = 0.2
+			w.after(w.between(5, 20), func() { w.keep = 0 })
+		case 25:
+			w.trace("the owner refused alone, then an outage")
+			if o := w.owner(); o != nil {
+				w.refused(o, 10*time.Second)
+				w.after(w.between(0.2, 2), func() { w.callOff(w.peerOf(o), w.longest(3)) })
+				w.after(w.between(1, 3), func() {
+					w.store.setOutage(true)
+					w.after(w.between(20, 45), func() { w.store.setOutage(false) })
+				})
+			}
 		}
 		w.after(w.between(0.5*every, 1.5*every), next)
 	}
@@ -200,13 +228,15 @@
 			if seed%2 == 0 {
 				w.lag = 0.25 // messages overtake each other
 			}
+			w.looks = seed%5 == 0
 			if testing.Verbose() {
 				w.trace = func(f string, a ...any) { t.Logf("%7.2f %s", w.now.Seconds(), fmt.Sprintf(f, a...)) }
 			}
 			randomJobs(w, 60, 200*time.Second)
 			randomFaults(w, []float64{20, 8, 4}[seed%3], 200*time.Second)
 			w.run(250 * time.Second)
-			w.slow, w.lost, w.repeats, w.copies = 0, 0, 0, 0
+			w.slow, w.lost, w.repeats, w.copies, w.keep, w.kept, w.looks = 0, 0, 0, 0, 0, nil, false
+			w.store.late, w.store.unsaid = 0, 0
 			w.calm = w.now
 			w.run(500 * time.Second)
 			w.mustKeepRules(t)
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -42,6 +42,8 @@
 	atEnd    float64                                                 // part of jobs that are called off as their last task ends
 	gossip   func(from *simNode, m *PeerMessage, a *PeerAnswer) bool // may change or drop what peers say
 	calm     time.Duration                                           // when all troubles are over; 0: not yet known
+	cached   bool                                                    // machines have every image
+	stray    float64                                                 // part of orders that come seconds to leases late
 	repeats  float64                                                 // part of orders that come twice
 	slow     float64                                                 // part of messages that take long
 	lost     float64                                                 // part of messages that are lost
@@ -411,6 +413,15 @@
 				continue
 			}
 			serve := func(answer func(int, []byte)) { m.when(func() { m.orders(body, answer) }) }
+			if n.w.chance(n.w.stray) { // an order that is held up for long
+				n.w.after(n.w.between(0, 4*n.w.cfg.lease), func() { serve(func(int, []byte) {}) })
+				n.w.after(limits.OrderTimeout, func() {
+					if alive() {
+						n.step(OrderReply{ID: x.ID})
+					}
+				})
+				continue
+			}
 			n.w.call(n.label, m.id, limits.OrderTimeout, serve, func(status int, b []byte) {
 				if alive() {
 					n.step(OrderReply{ID: x.ID, Status: status, Body: b})
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -82,20 +82,22 @@
 	*wire.Job
 	version   uint64
 	Cancelled bool
-	Done      Bits
-	DoneCount int
-	durable   Bits
-	parts     map[int]uint64 // versions of the written parts of the done set
-	dirty     map[int]bool
-	launched  bool // its record is written
-	asked     bool // its record was wished for
-	writing   bool
-	closing   bool
-	Placed    map[int]Place
-	scan      int
-	Class0    string // a class of the job, for the owner's guard
-	TypeSet   map[string]bool
-	Shape     string // equal for jobs whose tasks may use the same machines
+	// CancelledAt is when this node learned of the cancellation.
+	CancelledAt time.Duration
+	Done        Bits
+	DoneCount   int
+	durable     Bits
+	parts       map[int]uint64 // versions of the written parts of the done set
+	dirty       map[int]bool
+	launched    bool // its record is written
+	asked       bool // its record was wished for
+	writing     bool
+	closing     bool
+	Placed      map[int]Place
+	scan        int
+	Class0      string // a class of the job, for the owner's guard
+	TypeSet     map[string]bool
+	Shape       string // equal for jobs whose tasks may use the same machines
 
 	Active   bool // this node owns the job's classes
 	Prepared bool // part 0 is written: tasks may be launched
@@ -304,11 +306,11 @@
 		}
 		// Keys sort so that c/ comes before o/: a mark read earlier counts now.
 		if _, ok := b.store.Mirror.Get(keyCancel + id); ok {
-			j.Cancelled = true
+			j.Cancelled, j.CancelledAt = true, b.now
 		}
 		// Told by users' answers or by a peer before the record came.
 		if b.finals[id].Status == wire.StatusCancelled {
-			j.Cancelled = true
+			j.Cancelled, j.CancelledAt = true, b.now
 		}
 	case strings.HasPrefix(c.Key, keyCancel):
 		id := c.Key[len(keyCancel):]
@@ -606,7 +608,7 @@
 	if j == nil || j.Cancelled {
 		return false
 	}
-	j.Cancelled = true
+	j.Cancelled, j.CancelledAt = true, b.now
 	b.log("info", "job cancelled", "job", id)
 	return true
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -86,10 +86,10 @@
 
 	// What is known of cancellations that users were told: vouched is up to when each
 	// peer vouches for its own, heardOf up to when any peer knows everybody's, and
-	// blind for how long this node may go on without knowing.
+	// Blind for how long this node may go on without knowing.
 	vouched map[string]time.Duration
 	heardOf time.Duration
-	blind   time.Duration
+	Blind   time.Duration
 }
 
 // Blind is for how long an owner may answer workers without knowing of the
@@ -106,7 +106,7 @@
 	return &Node{Name: name, Inc: inc, store: store, others: others, log: log, now: start, start: start,
 		nodes: map[string]record{}, maps: map[string]record{}, owns: map[string]record{}, last: map[string]string{},
 		ended: map[uint64]bool{}, claims: map[string]*Claim{}, leaving: map[string]uint64{}, busy: map[string]time.Duration{}, promises: map[string]time.Duration{},
-		vouched: map[string]time.Duration{}, blind: blind,
+		vouched: map[string]time.Duration{}, Blind: blind,
 		jitter: time.Duration(inc % uint64(limits.ElectionJitter))}
 }
 
@@ -224,7 +224,7 @@
 	// Guards against an owner that the state service refused alone, while a peer
 	// confirmed cancellations, and that went on under its peers' promises when the
 	// service was then down for all: it kept the cancelled tasks alive.
-	if n.now >= n.KnowsUntil()+n.blind {
+	if n.now >= n.KnowsUntil()+n.Blind {
 		return false
 	}
 	if n.LeaseValid() {
@@ -243,7 +243,7 @@
 
 // ActUntil is until when an owner that may answer now may do so, as far as is known.
 func (n *Node) ActUntil() time.Duration {
-	knows := n.KnowsUntil() + n.blind
+	knows := n.KnowsUntil() + n.Blind
 	if n.LeaseValid() {
 		return min(n.leaseEnd, knows)
 	}
@@ -336,7 +336,7 @@
 
 // WantPromises tells whether peers should be asked for promises now.
 func (n *Node) WantPromises() bool {
-	blind := n.now-n.KnowsUntil() > n.blind/2
+	blind := n.now-n.KnowsUntil() > n.Blind/2
 	if len(n.claims) == 0 || !n.store.Down() && !blind || n.now < n.nextAsk {
 		return false
 	}
