A submission that lacks a field is refused with 400

Eight fields could be left out, and counted as zero; the protocol lets only those be left out that may be null. A job that is known already is not judged again, not even by its form.

--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -304,3 +304,20 @@
 		})
 	}
 }
+
+// TestKnownJobIsNotJudgedAgain: a job that an earlier version accepted without a field
+// that this one demands is not refused when its user repeats the submission.
+func TestKnownJobIsNotJudgedAgain(t *testing.T) {
+	c := testCore(t)
+	c.store.Mirror.Loaded = true
+	body := map[string]any{"id": "job-000001", "crew": "blue", "form": "batch"}
+	if a := answerOf(t, c.Step(Now{Steady: time.Second}, Submit{Ref: 1, Body: pack(body)})); a.Status != 400 {
+		t.Errorf("unknown: %d", a.Status)
+	}
+	c.book.Open["job-000001"] = &jobs.Job{Job: &wire.Job{ID: "job-000001", Tasks: 1}}
+	for _, o := range c.Step(Now{Steady: 2 * time.Second}, Submit{Ref: 2, Body: pack(body)}) {
+		if a, ok := o.(Answer); ok && a.Ref == 2 && a.Status == 400 {
+			t.Error("known: refused")
+		}
+	}
+}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -33,10 +33,11 @@
 // judged again: settings and machine types may have changed since.
 func (c *Core) submit(x Submit) {
 	s, err := wire.ParseSubmission(x.Body)
-	if err != nil {
+	if err != nil && (s == nil || !c.book.Known(s.ID)) {
 		c.answer(x.Ref, refuse(400, err.Error()))
 		return
 	}
+	// Not even its form: an earlier version may have taken what this one would not.
 	if c.book.Known(s.ID) {
 		c.book.Query(c.now.Steady, s.ID, func(a jobs.Answer) { c.answer(x.Ref, a) })
 		return
--- a/internal/controller/world_users_test.go
+++ b/internal/controller/world_users_test.go
@@ -32,6 +32,7 @@
 
 func (w *world) user(id string, spec map[string]any, run float64) *simJob {
 	spec["id"] = id
+	fill(spec)
 	j := &simJob{id: id, spec: spec, team: spec["crew"].(string), cores: spec["cores"].(float64), tasks: int(spec["sheets"].(int)), run: run, done: map[int]bool{}}
 	w.jobs[id] = j
 	body := pack(spec)
@@ -70,6 +71,16 @@
 	return j
 }
 
+// fill adds the fields that a submission must have and a test doesn't care about.
+func fill(spec map[string]any) {
+	for k, v := range map[string]any{"accelerators": 0.0, "plate": "img", "imageGb": 0.5, "oneZone": false, "scatter": false,
+		"loaners": true, "markS": 0.0, "stowS": 0.0} {
+		if _, ok := spec[k]; !ok {
+			spec[k] = v
+		}
+	}
+}
+
 func (w *world) poll(j *simJob) {
 	told := j.told
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
@@ -199,8 +210,9 @@
 	id := fmt.Sprintf("job-8%05d", w.rng.IntN(100000))
 	spec := map[string]any{"id": id, "docket": "x", "crew": "blue", "form": "batch", "urgency": "standard", "sheets": 2,
 		"cores": 1.0, "accelerators": 0.0, "ramGb": 1.0, "loaners": true, "reckonS": 5.0}
+	fill(spec)
 	want := 400
-	switch w.rng.IntN(5) {
+	switch w.rng.IntN(6) {
 	case 0:
 		spec["cores"], want = 1000.0, 422
 	case 1:
@@ -211,6 +223,8 @@
 		spec["form"] = "choir"
 	case 4:
 		spec["sheets"] = -1
+	case 5:
+		delete(spec, []string{"plate", "imageGb", "oneZone", "scatter", "loaners", "markS", "stowS", "accelerators"}[w.rng.IntN(8)])
 	}
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	body := pack(spec)
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -55,7 +55,10 @@
 	Listed  []string
 }
 
-// ParseSubmission checks the form of a submission. Its error is for the user.
+// ParseSubmission checks the form of a submission. Its error is for the user. Only what
+// may be null may be left out. Guards against jobs that were accepted though they lacked
+// a field, and then ran as if it had been zero. With a good id, the submission comes
+// along with the error.
 func ParseSubmission(body []byte) (*Submission, error) {
 	var m map[string]any
 	if err := Decode(body, &m); err != nil || m == nil {
@@ -70,35 +73,35 @@
 	s.Class = clip(p.text("docket", true))
 	s.Team = p.text("crew", true)
 	if form := p.text("form", true); p.err == nil && form != "batch" {
-		return nil, fmt.Errorf("form: unknown value")
+		return s, fmt.Errorf("form: unknown value")
 	}
 	u := p.text("urgency", true)
 	rank, ok := urgencies[u]
 	if p.err == nil && !ok {
-		return nil, fmt.Errorf("urgency: unknown value")
+		return s, fmt.Errorf("urgency: unknown value")
 	}
 	s.Urgency = rank
 	n := p.number("sheets", true)
 	if p.err == nil && (n != math.Trunc(n) || n < 1 || n > limits.MaxTasks) {
-		return nil, fmt.Errorf("sheets: want a whole number from 1 to %d", limits.MaxTasks)
+		return s, fmt.Errorf("sheets: want a whole number from 1 to %d", limits.MaxTasks)
 	}
 	s.Tasks = int(n)
 	s.CPUs = p.number("cores", true)
-	s.GPUs = p.number("accelerators", false)
+	s.GPUs = p.number("accelerators", true)
 	s.MemoryGB = p.number("ramGb", true)
-	s.Image = clip(p.text("plate", false))
-	s.ImageGB = p.number("imageGb", false)
+	s.Image = clip(p.mayBeEmpty("plate"))
+	s.ImageGB = p.number("imageGb", true)
 	s.Listed, s.AnyType = p.texts("builds")
 	s.Zone = p.text("valley", false)
 	s.OneZone = p.flag("oneZone")
 	s.Spread = p.flag("scatter")
 	s.Spot = p.flag("loaners")
 	s.EstimateS = p.number("reckonS", true)
-	s.CheckS = p.number("markS", false)
-	s.SaveS = p.number("stowS", false)
+	s.CheckS = p.number("markS", true)
+	s.SaveS = p.number("stowS", true)
 	s.DeadlineS = p.number("dueS", false)
 	if p.err != nil {
-		return nil, p.err
+		return s, p.err
 	}
 	return s, nil
 }
@@ -145,6 +148,19 @@
 	return s
 }
 
+// mayBeEmpty is text that must be there.
+func (p *parser) mayBeEmpty(name string) string {
+	v, ok := p.get(name, true)
+	if !ok {
+		return ""
+	}
+	s, ok := v.(string)
+	if !ok {
+		p.fail(name, "want text")
+	}
+	return s
+}
+
 func (p *parser) texts(name string) (list []string, absent bool) {
 	v, ok := p.get(name, false)
 	if !ok {
@@ -167,7 +183,7 @@
 }
 
 func (p *parser) flag(name string) bool {
-	v, ok := p.get(name, false)
+	v, ok := p.get(name, true)
 	if !ok {
 		return false
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -46,13 +46,21 @@
 			t.Errorf("%s=%v: got %v, want an error that names the field", field, v, err)
 		}
 	}
-	for _, field := range []string{"id", "crew", "form", "urgency", "sheets", "cores", "ramGb", "reckonS"} {
+	for _, field := range []string{"id", "docket", "crew", "form", "urgency", "sheets", "cores", "accelerators", "ramGb", "plate", "imageGb",
+		"oneZone", "scatter", "loaners", "reckonS", "markS", "stowS"} {
 		m := valid()
 		delete(m, field)
 		if _, err := parse(t, m); err == nil {
 			t.Errorf("without %s: accepted", field)
 		}
 	}
+	for _, field := range []string{"builds", "valley", "dueS"} { // these may be null
+		m := valid()
+		delete(m, field)
+		if _, err := parse(t, m); err != nil {
+			t.Errorf("without %s: %v", field, err)
+		}
+	}
 	for _, v := range []any{1.5, 100001, "16"} {
 		m := valid()
 		m["sheets"] = v
