--- a/internal/allocation/allocation.go
+++ b/internal/allocation/allocation.go
@@ -3,7 +3,12 @@
 // is pure: the same input gives the same placements.
 package allocation
 
-import "math"
+import (
+	"maps"
+	"math"
+	"slices"
+	"sort"
+)
 
 // Res is an amount of each resource of a machine.
 type Res struct{ CPUs, GPUs, Memory float64 }
@@ -43,7 +48,8 @@
 	held   string          // the only job whose tasks it takes
 }
 
-// Unit is a job's waiting tasks, which are all alike.
+// Unit is a job's waiting tasks, which are all alike. The algorithm starts one at a
+// time, or all of them where they are a gang.
 type Unit struct {
 	Job     string
 	Need    Res
@@ -64,6 +70,7 @@
 	Within, ImageGB float64
 	Overdue         bool // has waited too long to begin: Hold keeps room for it
 	Low             bool // of the lowest priority
+	Gang            bool // all Count tasks are placed together or none is
 	Urgent          bool // Return asks for room for it beyond its team's guarantee, too
 
 	at   *Machine // where Run put the last task of it
@@ -120,12 +127,20 @@
 	return total.CPUs+need.CPUs <= t.Guarantee.CPUs+eps && (need.GPUs <= 0 || total.GPUs+need.GPUs <= t.Guarantee.GPUs+eps)
 }
 
+// ask is what a unit takes at once: one task, or a whole gang.
+func (u *Unit) ask() Res {
+	if u.Gang {
+		return Res{}.Add(u.Need, float64(u.Count))
+	}
+	return u.Need
+}
+
 // rank tells what comes before the share: what is within a guarantee; then teams that
 // have one; then others; and low work of these last. Teams without a guarantee take
 // what is left, and low work does where nobody has one.
 func (t *Team) rank(total Res, u *Unit) int {
 	switch {
-	case t.guaranteed(total, u.Need):
+	case t.guaranteed(total, u.ask()):
 		return 3
 	case t.Guarantee != (Res{}):
 		return 2
@@ -190,7 +205,7 @@
 		best, bestIn := -1, 0
 		for i, t := range teams {
 			s := &st[i]
-			for s.next < len(t.Units) && (t.Units[s.next].Count <= 0 || !t.underLimit(s.total, t.Units[s.next].Need) || t.Units[s.next].hopeless(failed)) {
+			for s.next < len(t.Units) && (t.Units[s.next].Count <= 0 || !t.underLimit(s.total, t.Units[s.next].ask()) || t.Units[s.next].hopeless(failed)) {
 				s.next++
 			}
 			if s.next >= len(t.Units) {
@@ -206,45 +221,106 @@
 		}
 		t, s := teams[best], &st[best]
 		u := t.Units[s.next]
-		m := u.again(largest)
-		if m == nil {
-			m = pick(u, machines, largest)
-		}
-		if m == nil {
+		chosen := place(u, machines, largest)
+		if len(chosen) == 0 {
 			if u.plain() {
 				failed[u.Shape] = append(failed[u.Shape], u.Need)
 			}
 			s.next++
 			continue
 		}
-		m.Free = m.Free.Add(u.Need, -1)
-		m.Busy = true
-		if u.Image != "" && !m.has(u.Image) {
-			if m.coming == nil {
-				m.coming = map[string]bool{}
+		u.Count -= len(chosen)
+		for _, m := range chosen {
+			m.Busy = true
+			if u.Image != "" && !m.has(u.Image) {
+				if m.coming == nil {
+					m.coming = map[string]bool{}
+				}
+				m.coming[u.Image] = true
 			}
-			m.coming[u.Image] = true
+			t.Booked[m.Class] = t.Booked[m.Class].Add(u.Need, 1)
+			s.total = s.total.Add(u.Need, 1)
+			out = append(out, Placement{t.Name, u, m})
 		}
-		u.Count--
-		if u.ByZone != nil {
-			u.ByZone[m.Zone]++
-		}
-		t.Booked[m.Class] = t.Booked[m.Class].Add(u.Need, 1)
-		s.total = s.total.Add(u.Need, 1)
 		s.share = Share(t.Booked, capacity)
-		out = append(out, Placement{t.Name, u, m})
 	}
 }
 
+// place takes room for one task of a unit, or for all tasks of a gang, and tells where;
+// for a gang that fits nowhere as a whole it takes nothing.
+func place(u *Unit, machines []*Machine, largest map[string]Res) []*Machine {
+	take := func() *Machine {
+		m := u.again(largest)
+		if m == nil {
+			m = pick(u, machines, largest)
+		}
+		if m != nil {
+			m.Free = m.Free.Add(u.Need, -1)
+			if u.ByZone != nil {
+				u.ByZone[m.Zone]++
+			}
+		}
+		return m
+	}
+	if !u.Gang {
+		if m := take(); m != nil {
+			return []*Machine{m}
+		}
+		return nil
+	}
+	zones := []string{u.Zone}
+	if u.OneZone && u.Zone == "" {
+		zones = zonesOf(machines)
+	}
+	zone := u.Zone
+	defer func() { u.Zone = zone }()
+	for _, u.Zone = range zones {
+		var chosen []*Machine
+		for u.at = nil; len(chosen) < u.Count; {
+			m := take()
+			if m == nil {
+				break
+			}
+			chosen = append(chosen, m)
+		}
+		if len(chosen) == u.Count {
+			return chosen
+		}
+		for _, m := range chosen {
+			m.Free = m.Free.Add(u.Need, 1)
+			if u.ByZone != nil {
+				u.ByZone[m.Zone]--
+			}
+		}
+	}
+	u.at = nil
+	return nil
+}
+
+// zonesOf lists the machines' zones in order.
+func zonesOf(machines []*Machine) []string {
+	seen := map[string]bool{}
+	for _, m := range machines {
+		seen[m.Zone] = true
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
 // Hold keeps a machine for every overdue unit that fits on none, the one that
 // lacks least for it: its room is freed in small pieces, and small units would
 // take each as it comes. At most that many are held; it tells which.
 func Hold(teams []*Team, machines []*Machine, most int) map[string]bool {
-	held := map[string]bool{}
+	held, gang := map[string]bool{}, false
 	for _, t := range teams {
 		total := t.total()
 		for _, u := range t.Units {
-			if !u.Overdue || len(held) >= most || !t.underLimit(total, u.Need) {
+			if !u.Overdue || len(held) >= most || !t.underLimit(total, u.ask()) {
+				continue
+			}
+			if u.Gang {
+				if !gang {
+					gang = holdGang(u, machines, held)
+				}
 				continue
 			}
 			var best *Machine
@@ -266,6 +342,50 @@
 	return held
 }
 
+// holdGang keeps the machines for a gang that need to run empty least to take it whole,
+// unless it fits as it is. One gang at a time has room held: two would each keep half of
+// what one needs. It tells whether it did.
+func holdGang(u *Unit, machines []*Machine, held map[string]bool) bool {
+	var best []*Machine
+	least := math.Inf(1)
+	zones := []string{u.Zone}
+	if u.OneZone && u.Zone == "" {
+		zones = zonesOf(machines)
+	}
+	zone := u.Zone
+	defer func() { u.Zone = zone }()
+	for _, u.Zone = range zones {
+		var list []*Machine
+		fits := 0
+		for _, m := range machines {
+			if !held[m.ID] && u.Need.Fits(m.Size) && u.allows(m) {
+				list = append(list, m)
+				fits += u.Need.Times(m.Free)
+			}
+		}
+		if fits >= u.Count {
+			return false
+		}
+		// The part of a machine that is in use has to end first.
+		sort.SliceStable(list, func(a, b int) bool { return list[a].Size.part(list[a].Free) > list[b].Size.part(list[b].Free) })
+		room, used := 0, 0.0
+		for i, m := range list {
+			room += u.Need.Times(m.Size)
+			used += 1 - m.Size.part(m.Free)
+			if room >= u.Count {
+				if used < least {
+					best, least = list[:i+1], used
+				}
+				break
+			}
+		}
+	}
+	for _, m := range best {
+		m.held, held[m.ID] = u.Job, true
+	}
+	return len(best) > 0
+}
+
 // part tells which part of a is available in b, at the resource that lacks most.
 func (a Res) part(b Res) float64 {
 	p := math.Inf(1)
@@ -279,7 +399,7 @@
 
 // plain tells whether nothing but Shape and Need decides where a unit may go.
 func (u *Unit) plain() bool {
-	return u.Shape != "" && !u.Overdue && !u.OneZone && !u.Spread && len(u.Avoid) == 0
+	return u.Shape != "" && !u.Gang && !u.Overdue && !u.OneZone && !u.Spread && len(u.Avoid) == 0
 }
 
 func (u *Unit) hopeless(failed map[string][]Res) bool {
--- a/internal/allocation/loan.go
+++ b/internal/allocation/loan.go
@@ -51,6 +51,9 @@
 	for _, t := range teams {
 		total := t.total()
 		for _, u := range t.Units {
+			if u.Gang { // room for one task alone is of no use to it
+				continue
+			}
 			n := u.Count
 			for i := 0; i < n && len(out) < most; i++ {
 				in := t.guaranteed(total, u.Need)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -43,12 +43,19 @@
 		ReportS float64 `json:"report_s"`
 		LeaseS  float64 `json:"lease_s"`
 		CancelS float64 `json:"cancel_s"`
+		// GangWaitS is how long a gang task waits for the others, GangPeerS within what
+		// time a gang notices that one is gone, and all must be told to stop.
+		GangWaitS float64 `json:"gang_wait_s"`
+		GangPeerS float64 `json:"gang_peer_s"`
 	} `json:"workers"`
 	State struct {
 		RPS      float64 `json:"rps"`
 		WriteRPS float64 `json:"write_rps"`
 		ValueKB  float64 `json:"value_kb"`
 		TxnOps   int     `json:"txn_ops"`
+		// Next is what the state service will hold to from some moment on; nil: nothing
+		// changes.
+		Next *StateLimits `json:"next"`
 	} `json:"state"`
 	Cloud struct {
 		RPS      float64 `json:"rps"`
@@ -62,6 +69,28 @@
 	ClockErrorMs float64 `json:"clock_error_ms"`
 }
 
+// StateLimits are limits of the state service; 0 leaves one as it is.
+type StateLimits struct {
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+}
+
+// StateSizes are the sizes of transactions and values that hold before and after the
+// announced change.
+func (c *Cluster) StateSizes() (txnOps int, valueKB float64) {
+	txnOps, valueKB = c.State.TxnOps, c.State.ValueKB
+	if n := c.State.Next; n != nil {
+		if n.TxnOps > 0 {
+			txnOps = min(txnOps, n.TxnOps)
+		}
+		if n.ValueKB > 0 {
+			valueKB = min(valueKB, n.ValueKB)
+		}
+	}
+	return txnOps, valueKB
+}
+
 // Objective is an aim that the users stated for a class of jobs.
 type Objective struct {
 	Kind    string  `json:"kind"` // finished, deadline, wait (tasks started); others are ignored
@@ -165,6 +194,17 @@
 	if c.State.TxnOps < 4 {
 		return &FieldError{"cluster.state.txn_ops", "must be at least 4"}
 	}
+	if n := c.State.Next; n != nil {
+		if n.TxnOps != 0 && n.TxnOps < 4 {
+			return &FieldError{"cluster.state.next.txn_ops", "must be at least 4"}
+		}
+		if !(n.ValueKB >= 0) || !(n.WriteRPS >= 0) || n.ValueKB > 0 && n.ValueKB < 1 {
+			return &FieldError{"cluster.state.next", "want value_kb of at least 1 and write_rps above 0"}
+		}
+	}
+	if c.Workers.GangWaitS < 0 || c.Workers.GangPeerS < 0 {
+		return &FieldError{"cluster.workers", "gang_wait_s and gang_peer_s must not be negative"}
+	}
 	return nil
 }
 
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -223,14 +223,19 @@
 		c.teams[set.Cluster.Teams[i].Name] = &set.Cluster.Teams[i]
 	}
 	cl := &set.Cluster
-	c.store = statestore.New(cl.State.RPS, cl.State.WriteRPS, cl.State.TxnOps, cl.State.ValueKB)
+	// Sizes that hold before and after an announced change of the state service's limits.
+	changes, valueKB := cl.StateSizes()
+	c.store = statestore.New(cl.State.RPS, cl.State.WriteRPS, changes, valueKB)
+	if n := cl.State.Next; n != nil {
+		c.store.NextWrites(n.WriteRPS)
+	}
 	var others []string
 	for _, p := range set.Others {
 		others = append(others, p.Label)
 	}
 	blind := ownership.Blind(seconds(cl.Workers.CancelS), seconds(cl.Workers.LeaseS))
 	c.own = ownership.New(set.Label, others, random, now.Steady, blind, c.store, c.log)
-	c.book = jobs.New(c.store, c.own.Guard, c.log)
+	c.book = jobs.New(c.store, c.own.Guard, c.own.Format, c.log)
 	c.records = statestore.NewPack(c.store, keyRoster, c.own.Guard, c.applyRoster)
 	c.pool = workers.New(cl.Workers.LeaseS, cl.Workers.ReportS)
 	c.fleet = fleet.New(cl.Cloud.RPS, cl.Cloud.ListLagS, hirePrefix(set.Label, random), c.log)
@@ -323,6 +328,7 @@
 	c.followClaims()
 	c.manageMachines()
 	c.activateJobs()
+	c.tendGangs()
 	may := c.own.MayLaunch()
 	if may && len(c.active) > 0 {
 		c.writeRoster()
@@ -487,6 +493,7 @@
 		if all && !j.Active {
 			j.Frozen = j.Launched()
 			j.Prepared = false
+			j.Start = jobs.GangStart{}
 		}
 		j.Active = all
 		if all && j.Frozen {
--- /dev/null
+++ b/internal/controller/gangs.go
@@ -0,0 +1,252 @@
+package controller
+
+import (
+	"slices"
+
+	"umberpaddle/internal/allocation"
+	"umberpaddle/internal/jobs"
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/wire"
+	"umberpaddle/internal/workers"
+)
+
+// A gang's tasks have one attempt number. As long as none has begun, a task that is lost
+// is replaced under it; after that, and whenever a task ends in another way, the whole
+// attempt ends, and the next begins once every task of it is proven off its machine.
+
+// gangUnit fits a unit to what a gang needs now; false: nothing.
+func (c *Core) gangUnit(u *allocation.Unit, j *jobs.Job, held map[string][]string) bool {
+	u.Gang, u.Count = true, j.Waiting()
+	if j.Start.Ending || j.Start.Stopped > 0 || (j.Start.Began && u.Count > 0) {
+		return false
+	}
+	u.Avoid = map[string]bool{}
+	for id := range j.FailedOn {
+		u.Avoid[id] = true
+	}
+	for id := range j.Start.Left { // an attempt that was cleared must not come back there
+		u.Avoid[id] = true
+	}
+	for _, id := range held[j.ID] {
+		u.Avoid[id] = true
+	}
+	u.Overdue = c.age(j.SubmitUnix) > limits.GangHold
+	return u.Count > 0
+}
+
+// heldEnds lists, by gang, the machines with an end of a task that is not cleared yet:
+// it keeps the task away from there.
+func (c *Core) heldEnds() map[string][]string {
+	out := map[string][]string{}
+	for id, m := range c.pool.Machines {
+		for task := range m.Held {
+			job, _ := jobs.SplitTask(task)
+			if j := c.book.Open[job]; j != nil && j.Gang {
+				out[job] = append(out[job], id)
+			}
+		}
+	}
+	return out
+}
+
+// placeGang takes the placements of a gang over, all or none.
+func (c *Core) placeGang(j *jobs.Job, team string, machines []*allocation.Machine) {
+	var tasks []int
+	for task := 0; task < j.Tasks; task++ {
+		if _, ok := j.Placed[task]; !ok {
+			tasks = append(tasks, task)
+		}
+	}
+	if len(tasks) != len(machines) || j.DoneCount > 0 || j.Start.Ending || j.Start.Began && len(tasks) > 0 {
+		return // the offer was older than a change of the job
+	}
+	for _, am := range machines {
+		m := c.pool.Machines[am.ID]
+		if m == nil || j.Start.Left[am.ID] {
+			return
+		}
+		for _, task := range tasks {
+			if m.Held[jobs.TaskID(j.ID, task)] {
+				return
+			}
+		}
+	}
+	if j.Start.Attempt == 0 {
+		j.Start = jobs.GangStart{Attempt: c.attempt(machines[0].Class), Left: map[string]bool{}}
+	}
+	for i, am := range machines {
+		c.put(j, tasks[i], jobs.Place{Machine: am.ID, Attempt: j.Start.Attempt, State: jobs.Planned})
+		m := c.pool.Machines[am.ID]
+		if _, known := m.Images[j.Image]; !known && j.Image != "" {
+			m.Images[j.Image] = false
+		}
+		c.touched = append(c.touched, am.ID)
+	}
+	c.log("debug", "gang placed", "job", j.ID, "tasks", len(tasks), "of", j.Tasks, "attempt", j.Start.Attempt, "team", team)
+}
+
+// gangReported takes in a task of a gang that a machine lists.
+func (c *Core) gangReported(j *jobs.Job, t wire.TaskReport) {
+	if j.Start.Attempt == 0 {
+		return // adopted once all machines are known
+	}
+	if t.Attempt != j.Start.Attempt {
+		c.endGang(j, "mixed attempts")
+	} else if t.State == wire.TaskRunning || t.State == wire.TaskSaving {
+		j.Start.Began = true
+	}
+}
+
+// gangLost takes note that a task of a gang is on its machine no more, without an end
+// that was reported.
+func (c *Core) gangLost(j *jobs.Job, p jobs.Place) {
+	if p.Attempt != j.Start.Attempt || p.State == jobs.Planned || j.DoneCount == j.Tasks {
+		return
+	}
+	if j.Start.Left == nil {
+		j.Start.Left = map[string]bool{}
+	}
+	j.Start.Left[p.Machine] = true
+	if j.Start.Began && j.Start.Stopped == 0 {
+		c.endGang(j, "task lost")
+	}
+}
+
+// gangEnded takes in the reported end of a gang's task.
+func (c *Core) gangEnded(j *jobs.Job, t wire.TaskReport) {
+	switch {
+	case t.Cause == wire.CauseDone:
+		// One is done: all are, and exit with it.
+		j.Succeeded, j.Backoff = true, 0
+		for task := 0; task < j.Tasks; task++ {
+			j.MarkDone(task)
+		}
+		for _, task := range j.PlacedTasks() {
+			c.take(j, task)
+		}
+	case t.Attempt != j.Start.Attempt:
+	case t.Cause == wire.CauseHalted && j.Start.Stopped > 0:
+		// What was told to save: the others are still about it.
+	default:
+		c.endGang(j, t.Cause)
+	}
+}
+
+// endGang ends what is left of a gang's attempt.
+func (c *Core) endGang(j *jobs.Job, why string) {
+	if j.Start.Ending || j.Start.Attempt == 0 {
+		return
+	}
+	j.Start.Ending = true
+	c.log("info", "gang attempt ends", "job", j.ID, "why", why, "attempt", j.Start.Attempt, "left", len(j.Placed))
+	c.dirty = true
+	for _, task := range j.PlacedTasks() {
+		if j.Placed[task].State == jobs.Planned {
+			c.take(j, task)
+		}
+	}
+	c.tellGang(j, "")
+}
+
+// stopGang tells all tasks of a running gang to save and stop, since the machine of one
+// has to be left. A gang that only waits has nothing to save.
+func (c *Core) stopGang(j *jobs.Job, m *workers.Machine) {
+	if j.Start.Ending || j.Start.Stopped > 0 || j.Start.Attempt == 0 {
+		return
+	}
+	if !j.Start.Began {
+		c.endGang(j, "machine leaves")
+		return
+	}
+	j.Start.Stopped = c.now.Steady
+	c.log("info", "gang stops to save", "job", j.ID, "machine", m.ID, "attempt", j.Start.Attempt)
+	// With the answers to reports alone the last ones might be told too late.
+	c.tellGang(j, m.ID)
+}
+
+// gangStop tells whether a task of a gang has to be told to stop, and with what leeway.
+func (c *Core) gangStop(j *jobs.Job, t wire.TaskReport) (stop bool, leeway float64) {
+	switch {
+	case j.Start.Ending || j.Start.Attempt != 0 && t.Attempt != j.Start.Attempt:
+		return true, 0
+	case j.Start.Stopped > 0 && t.State != wire.TaskSaving:
+		return true, j.SaveS + c.set.Cluster.Workers.GangPeerS
+	}
+	return false, 0
+}
+
+// tellGang sends the stops of a gang straight to the machines of its tasks, but for one
+// that is being answered. What does not arrive goes with the answers to reports.
+func (c *Core) tellGang(j *jobs.Job, but string) {
+	byMachine := map[string][]wire.Command{}
+	var order []string
+	for _, task := range j.PlacedTasks() {
+		p := j.Placed[task]
+		stop, leeway := c.gangStop(j, wire.TaskReport{Attempt: p.Attempt})
+		if p.State == jobs.Planned || p.State == jobs.Saving || !stop || p.Machine == but {
+			continue
+		}
+		if byMachine[p.Machine] == nil {
+			order = append(order, p.Machine)
+		}
+		byMachine[p.Machine] = append(byMachine[p.Machine], wire.Command{Verb: wire.VerbStop, Task: jobs.TaskID(j.ID, task), Attempt: p.Attempt, GraceS: leeway})
+	}
+	for _, id := range order {
+		if m := c.pool.Machines[id]; m != nil && m.Adopted && !m.Ordered && !m.Lost && !m.Deleting && m.Address != "" && c.asks < limits.AsksInFlight {
+			c.askWith(m, m.Session, byMachine[id])
+		}
+	}
+}
+
+// tendGangs adopts what earlier owners started, gives up what stops for too long, and
+// makes way for the next attempt of what is gone.
+func (c *Core) tendGangs() {
+	t := c.now.Steady
+	var ids []string
+	for id, j := range c.book.Open {
+		if j.Gang && j.Active && !j.Frozen && (j.Start.Attempt != 0 || len(j.Placed) > 0) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		j := c.book.Open[id]
+		if j.Start.Attempt == 0 && len(j.Placed) > 0 {
+			c.adoptGang(j)
+		}
+		if j.Start.Stopped > 0 && t > j.Start.Stopped+seconds(c.set.Cluster.Workers.GangPeerS+j.SaveS)+c.pool.Report*5/4+limits.GangStopSlack {
+			c.endGang(j, "not stopped in time")
+		}
+		if j.Start.Attempt != 0 && len(j.Placed) == 0 {
+			j.Start = jobs.GangStart{}
+			c.dirty = true
+		}
+	}
+}
+
+// adoptGang goes on with an attempt of an earlier owner if all its tasks are there, and
+// ends it otherwise.
+func (c *Core) adoptGang(j *jobs.Job) {
+	whole := len(j.Placed) == j.Tasks
+	for _, task := range j.PlacedTasks() {
+		p := j.Placed[task]
+		if j.Start.Attempt == 0 {
+			j.Start = jobs.GangStart{Attempt: p.Attempt, Left: map[string]bool{}}
+		}
+		whole = whole && p.Attempt == j.Start.Attempt && p.State != jobs.Saving
+		j.Start.Began = j.Start.Began || p.State >= jobs.Running
+	}
+	if !whole {
+		c.endGang(j, "not whole at a takeover")
+	}
+}
+
+// gangLeaves tells whether a machine's end is so near that a gang with a task on it has
+// to go.
+func (c *Core) gangLeaves(m *workers.Machine, j *jobs.Job) bool {
+	if m.Recall == 0 {
+		return false
+	}
+	left := m.Recall - c.now.Steady
+	return left <= seconds(j.SaveS+c.set.Cluster.Workers.GangPeerS)+limits.DrainSpare+c.pool.Report*5/4
+}
--- /dev/null
+++ b/internal/controller/gangs_test.go
@@ -0,0 +1,243 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"umberpaddle/internal/config"
+	"umberpaddle/internal/wire"
+)
+
+// gangSpec is a gang that saves.
+func gangSpec(team string, tasks int, cores, estimate float64) map[string]any {
+	x := spec(team, tasks, cores, estimate)
+	x["form"], x["markS"], x["stowS"] = "gang", 20.0, 3.0
+	return x
+}
+
+// someGangs submits gangs of several sizes over a while, next to arrays of two teams.
+func someGangs(n int, over time.Duration, run float64) func(w *world) {
+	return func(w *world) {
+		for i := 0; i < 4; i++ {
+			w.user(fmt.Sprintf("job-3%05d", i), spec([]string{"red", "blue"}[i%2], 8, 2, 40), 40)
+		}
+		for i := 0; i < n; i++ {
+			w.after(time.Duration(i)*over/time.Duration(n), func() {
+				x := gangSpec([]string{"red", "blue"}[i%2], 2+i%5, []float64{1, 2, 4}[i%3], run)
+				x["oneZone"] = i%2 == 0
+				if i%7 == 3 {
+					x["scatter"] = true
+					x["oneZone"] = false
+				}
+				w.user(fmt.Sprintf("job-2%05d", i), x, run)
+			})
+		}
+	}
+}
+
+// gangMachines calls f for a machine of each running gang.
+func (w *world) gangMachines(f func(m *simMachine)) {
+	seen := map[string]bool{}
+	for _, m := range w.busyMachines() {
+		for _, id := range m.order {
+			if t := m.tasks[id]; t != nil && t.job.gang && onMachine(t) && !seen[t.job.id] {
+				seen[t.job.id] = true
+				f(m)
+				break
+			}
+		}
+	}
+}
+
+// gangMeetings are meetings of troubles with gangs. One attempt that outlives another, a
+// part of a gang that starts anew and a gang called done too early all break rules.
+var gangMeetings = []meeting{
+	{name: "gangs beside arrays", quiet: true, setup: someGangs(30, 50*s, 20), play: func(w *world) time.Duration { return 10 * s }},
+	{name: "machines with gangs die", quiet: true, setup: someGangs(24, 70*s, 40), play: func(w *world) time.Duration {
+		for at := s; at < 25*s; at += 8 * s {
+			w.after(at, func() { w.gangMachines((*simMachine).die) })
+		}
+		return 40 * s
+	}},
+	{name: "machines with gangs hang and go on", quiet: true, setup: someGangs(24, 70*s, 40), play: func(w *world) time.Duration {
+		for at := s; at < 25*s; at += 8 * s {
+			w.after(at, func() { w.gangMachines(hangFor(w.between(2, 13))) })
+		}
+		return 40 * s
+	}, without: sabotaged(func(c *Core) {
+		for _, j := range c.book.Open { // parts of a new attempt before the old one is gone
+			if j.Gang && j.Start.Ending {
+				for _, task := range j.PlacedTasks() {
+					c.take(j, task)
+				}
+			}
+		}
+	}), breaks: "ran_twice mixed in_use sums wrong_place quota"},
+	{name: "gangs wait alone", quiet: true, setup: func(w *world) {
+		w.cfg.gangWait = 6
+		someGangs(24, 70*s, 30)(w)
+	}, play: func(w *world) time.Duration {
+		for at := s; at < 30*s; at += 3 * s {
+			w.after(at, func() { w.someMachines(3, hangFor(w.between(3, 9))) })
+		}
+		return 45 * s
+	}},
+	{name: "gangs are told to stop", quiet: true, setup: func(w *world) {
+		for k, n := range w.cfg.capacity {
+			if !k.Spot {
+				w.cloud.left[k] = 0
+			} else {
+				w.cloud.left[k] = 3 * n
+			}
+		}
+		someGangs(16, 60*s, 60)(w)
+	}, play: func(w *world) time.Duration {
+		for at := s; at < 20*s; at += 9 * s {
+			w.after(at, func() {
+				w.gangMachines(func(m *simMachine) {
+					if m.kind.Spot && m.recall == 0 {
+						m.recall = w.now + 22*s
+						w.after(22*s, m.die)
+					}
+				})
+			})
+		}
+		return 60 * s
+	}},
+	{name: "the leader ends while gangs start and stop", quiet: true, setup: someGangs(40, 100*s, 25), play: func(w *world) time.Duration {
+		for at := time.Duration(0); at < 50*s; at += 7 * s {
+			w.after(at+w.between(0, 2), func() { w.endOwner(w.between(0.1, 3)) })
+		}
+		return 60 * s
+	}, without: noWaiting, breaks: "ran_twice mixed in_use quota sums"},
+	{name: "gangs called off as they start and end", quiet: true, setup: func(w *world) {
+		w.atEnd, w.looks = 0.4, true
+		someGangs(40, 100*s, 12)(w)
+	}, play: func(w *world) time.Duration {
+		for at := time.Duration(0); at < 40*s; at += 4 * s {
+			w.after(at, func() {
+				for _, id := range sortedKeys(w.jobs) {
+					if j := w.jobs[id]; j.gang && j.told == "" && w.chance(0.15) {
+						w.cancel(j)
+					}
+				}
+			})
+		}
+		w.after(15*s, func() { w.endOwner(2 * s) })
+		return 60 * s
+	}},
+	{name: "gangs, mute and deaf machines, the leader ends", quiet: true, setup: someGangs(30, 90*s, 30), play: func(w *world) time.Duration {
+		w.someMachines(3, w.muteFor(20*s))
+		w.someMachines(4, w.deafFor(20*s))
+		w.soon(trouble{5 * s, func() { w.endOwner(2 * s) }}, trouble{12 * s, func() { w.gangMachines((*simMachine).die) }})
+		return 50 * s
+	}},
+	{name: "gangs, orders held up or repeated", quiet: true, setup: func(w *world) {
+		w.repeats = 0.3
+		someGangs(30, 90*s, 25)(w)
+	}, play: func(w *world) time.Duration {
+		w.stray = 0.2
+		w.soon(trouble{20 * s, func() { w.stray = 0 }}, trouble{10 * s, func() { w.gangMachines(hangFor(6 * s)) }})
+		return 60 * s
+	}},
+	{name: "gangs and the gap", quiet: true, setup: someGangs(16, 60*s, 60), play: gap(nil)},
+	{name: "gangs in a full cluster", quiet: true, setup: func(w *world) {
+		for i := 0; i < 14; i++ {
+			w.user(fmt.Sprintf("job-3%05d", i), spec([]string{"red", "blue"}[i%2], 12, 2, 25), 25)
+		}
+		for i := 0; i < 3; i++ {
+			w.user(fmt.Sprintf("job-2%05d", i), gangSpec("blue", 12, 8, 15), 15)
+		}
+	}, play: func(w *world) time.Duration {
+		w.after(5*s, func() { w.endOwner(s) })
+		return 40 * s
+	}},
+}
+
+// TestMeetingsWithGangs plays the meetings with gangs like the others.
+func TestMeetingsWithGangs(t *testing.T) { playMeetings(t, gangMeetings) }
+
+// TestGangsSave: in the meeting with notices, most gangs that are told to stop save.
+func TestGangsSave(t *testing.T) {
+	saved, ended := 0, 0
+	for seed := uint64(1); seed <= 3; seed++ {
+		for _, m := range gangMeetings {
+			if m.name != "gangs are told to stop" {
+				continue
+			}
+			w := meet(m, 3, seed, false, nil)
+			for _, j := range w.jobs {
+				saved += j.saved
+			}
+			for _, g := range w.gangs {
+				if g.began && g.stopAt > 0 {
+					ended++
+				}
+			}
+		}
+	}
+	if ended < 5 || saved*10 < ended*8 {
+		t.Errorf("%d of %d gangs that were told to stop saved", saved, ended)
+	}
+}
+
+// TestGangBeyondItsTeamsLimit is refused with 422, and one that just fits is taken.
+func TestGangBeyondItsTeamsLimit(t *testing.T) {
+	c := testCore(t)
+	c.fleet.Types["small"] = &wire.MachineType{Name: "small", CPUs: 8, MemoryGB: 32, Zones: []string{"a"}}
+	for tasks, refused := range map[int]bool{10: false, 11: true} {
+		x := gangSpec("red", tasks, 4, 10)
+		x["id"] = "job-000001"
+		fill(x)
+		sub, err := wire.ParseSubmission(pack(x))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if why := c.judge(sub); (why != "") != refused {
+			t.Errorf("%d tasks of 4 CPUs with a limit of 40: %q", tasks, why)
+		}
+	}
+}
+
+// TestGangWaitsForTheUpgrade: as long as a controller may be of the version before, a
+// gang is not taken, for that one would run it as an array.
+func TestGangWaitsForTheUpgrade(t *testing.T) {
+	c := testCore(t)
+	c.store.Mirror.Loaded = true
+	c.fleet.Types["small"] = &wire.MachineType{Name: "small", CPUs: 8, MemoryGB: 32, Zones: []string{"a"}}
+	x := gangSpec("red", 4, 4, 10)
+	x["id"] = "job-000001"
+	fill(x)
+	if a := answerOf(t, c.Step(Now{Steady: time.Second}, Submit{Ref: 1, Body: pack(x)})); a.Status != 503 || a.RetryAfter == 0 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// TestLimitsShrinkInABacklog: the state service goes over to its smaller limits without
+// notice while keys are full and much is to be written.
+func TestLimitsShrinkInABacklog(t *testing.T) {
+	withNodes(t, 2, func(t *testing.T, cfg worldConfig, seed uint64) {
+		cfg.next = &config.StateLimits{WriteRPS: 15, ValueKB: 2, TxnOps: 4}
+		cfg.writeRPS = 20
+		w := newWorld(seed, cfg)
+		randomJobs(w, 60, 100*s)
+		w.user("job-400000", spec("blue", 20000, 1, 1), 0.2) // of parts of their own
+		w.run(60 * s)
+		w.store.limit(cfg.next)
+		w.after(10*s, func() { w.endOwner(2 * s) })
+		w.run(120 * s)
+		w.calm = w.now
+		for _, id := range sortedKeys(w.jobs) {
+			if j := w.jobs[id]; j.tasks > 1000 {
+				w.cancel(j)
+			}
+		}
+		w.run(500 * s)
+		w.mustKeepRules(t)
+		w.mustFinish(t)
+		if w.store.tooLarge > 0 {
+			t.Errorf("%d transactions were too large", w.store.tooLarge)
+		}
+	})
+}
--- a/internal/controller/loans.go
+++ b/internal/controller/loans.go
@@ -79,7 +79,7 @@
 	var lent []placed
 	for _, j := range c.sortedJobs() {
 		// Only what saves its progress: nothing is lost but the way back.
-		if j.CheckS <= 0 || j.Cancelled || c.book.Open[j.ID] != j {
+		if j.CheckS <= 0 || j.Gang || j.Cancelled || c.book.Open[j.ID] != j {
 			continue
 		}
 		for _, task := range j.PlacedTasks() {
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -138,6 +138,16 @@
 				m.Images[j.Image] = true
 			}
 		}
+		if j.Gang && !j.Cancelled {
+			c.gangReported(j, t)
+			if c.gangLeaves(m, j) {
+				c.stopGang(j, m)
+			}
+			if stop, leeway := c.gangStop(j, t); stop {
+				cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt, GraceS: leeway})
+			}
+			continue
+		}
 		switch {
 		case j.Cancelled:
 			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt})
@@ -220,7 +230,10 @@
 	}
 	p, ok := j.Placed[task]
 	here := ok && p.Machine == m.ID && p.Attempt == t.Attempt
-	if here {
+	if j.Gang && (here || t.Cause == wire.CauseDone) {
+		c.gangEnded(j, t)
+	}
+	if p, ok := j.Placed[task]; ok && here && p.Machine == m.ID && p.Attempt == t.Attempt {
 		c.take(j, task)
 	}
 	if t.Cause == wire.CauseDone {
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -455,7 +455,7 @@
 		w.soon(trouble{2 * s, func() { w.callOff(w.peerOf(o), w.longest(4)) }}, trouble{8 * s, func() { w.callOff(w.peerOf(o), w.longest(4)) }})
 		return 40 * s
 	}, without: noCancels, breaks: "ran_cancelled"},
-	{name: "commands and answers held up", setup: func(w *world) { w.slow, w.repeats = 0.05, 0.2 }, play: func(w *world) time.Duration {
+	{name: "commands and answers held up", setup: func(w *world) { w.slow, w.repeats, w.cached = 0.05, 1, true }, play: func(w *world) time.Duration {
 		for at := 2 * s; at < 50*s; at += 8 * s {
 			w.after(at, func() { w.someMachines(5, hangFor(w.between(2, 12))) })
 		}
@@ -549,8 +549,10 @@
 // TestMeetingsOfTroubles plays every meeting with three and five controllers, checks
 // the rules at every event, and that all work is done in the end. Then it takes the
 // meeting's guard out, and the rules must break.
-func TestMeetingsOfTroubles(t *testing.T) {
-	for _, m := range meetings {
+func TestMeetingsOfTroubles(t *testing.T) { playMeetings(t, meetings) }
+
+func playMeetings(t *testing.T, list []meeting) {
+	for _, m := range list {
 		for _, nodes := range []int{3, 5} {
 			for seed := uint64(1); seed <= meetingSeeds; seed++ {
 				t.Run(fmt.Sprintf("%s/%d/%d", m.name, nodes, seed), func(t *testing.T) {
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -146,19 +146,25 @@
 		if c.asks >= limits.AsksInFlight {
 			return
 		}
-		term := c.active[m.Class]
 		if m.Ordered || m.Deleting || m.Lost || m.Address == "" || t < m.AskAt || t-m.Heard <= c.pool.Report*5/4+limits.AskAfter {
 			continue
 		}
 		m.AskAt = t + limits.AskEvery
-		m.Ordered = true
-		c.asks++
-		c.lastOrder++
-		c.orders[c.lastOrder] = &order{machine: m.ID, session: max(m.Session, m.AskSession), term: term, ask: true}
-		c.out = append(c.out, OrderCall{ID: c.lastOrder, Address: m.Address, Body: wire.Orders{Token: term, Session: max(m.Session, m.AskSession), Commands: []wire.Command{}}, Until: c.own.ActUntil()})
+		c.askWith(m, max(m.Session, m.AskSession), []wire.Command{})
 	}
 }
 
+// askWith sends a machine commands that need no account of their own, or none: stops may
+// be carried out late, and again. The answer tells what it runs.
+func (c *Core) askWith(m *workers.Machine, session uint64, cmds []wire.Command) {
+	term := c.active[m.Class]
+	m.Ordered = true
+	c.asks++
+	c.lastOrder++
+	c.orders[c.lastOrder] = &order{machine: m.ID, session: session, term: term, ask: true}
+	c.out = append(c.out, OrderCall{ID: c.lastOrder, Address: m.Address, Body: wire.Orders{Token: term, Session: session, Commands: cmds}, Until: c.own.ActUntil()})
+}
+
 // askedAbout takes in what a silent machine answered.
 func (c *Core) askedAbout(m *workers.Machine, o *order, x OrderReply) {
 	if c.active[m.Class] != o.term {
@@ -195,6 +201,10 @@
 		p := c.on[m.ID].tasks[id]
 		if pl := p.job.Placed[p.task]; pl.Told == jobs.Lost && !p.job.Cancelled && len(cmds) < limits.MaxCommands {
 			cmds = append(cmds, wire.Command{Verb: wire.VerbLaunch, Task: id, Attempt: pl.Attempt})
+			if p.job.Gang && p.job.Start.Ending {
+				// Only to be sure that it is gone: the next attempt waits for that.
+				cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: pl.Attempt})
+			}
 		}
 	}
 	return cmds
--- a/internal/controller/places.go
+++ b/internal/controller/places.go
@@ -85,6 +85,9 @@
 	}
 	j.Unplace(task)
 	c.dirty = true
+	if j.Gang {
+		c.gangLost(j, p)
+	}
 	h := c.on[p.Machine]
 	if h == nil {
 		return
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -231,6 +232,7 @@
 			at.Unknown.GPUs = min(at.Unknown.GPUs, unseen.GPUs)
 		}
 	}
+	var held map[string][]string // for gangs
 	for _, j := range c.sortedJobs() {
 		at := byTeam[j.Team]
 		n := j.Waiting()
@@ -252,6 +254,13 @@
 			}
 		}
 		switch {
+		case j.Gang:
+			if held == nil {
+				held = c.heldEnds()
+			}
+			if !c.gangUnit(u, j, held) {
+				continue
+			}
 		case j.Faulty():
 			u.Count = min(n, limits.BadJobSlots-len(j.Placed))
 		case c.overdue(j):
@@ -355,12 +364,19 @@
 
 // run lets the allocation fill machines and takes its placements over.
 func (c *Core) run(o *offer, machines []*allocation.Machine) {
+	gangs := map[string][]*allocation.Machine{}
 	for _, p := range allocation.Run(o.teams, machines, o.capacity, o.largest) {
 		j := c.book.Open[p.Unit.Job]
 		// The offer may be older than a change of the job.
 		if j == nil || j.Cancelled || j.Frozen || !j.Active || !j.Prepared {
 			continue
 		}
+		if j.Gang {
+			if gangs[j.ID] = append(gangs[j.ID], p.Machine); len(gangs[j.ID]) == j.Waiting() {
+				c.placeGang(j, p.Team, gangs[j.ID])
+			}
+			continue
+		}
 		task := j.NextTask()
 		m := c.pool.Machines[p.Machine.ID]
 		if task < 0 || m == nil || (len(m.Held) > 0 && m.Held[jobs.TaskID(j.ID, task)]) {
@@ -421,6 +437,12 @@
 				continue
 			}
 			w.from = 0
+			if u.Gang {
+				if ask := (allocation.Res{}).Add(u.Need, float64(u.Count)); !over(total.CPUs+ask.CPUs, at.MaxCPUs) && !over(total.GPUs+ask.GPUs, at.MaxGPUs) && c.fitGang(u, w) {
+					total = total.Add(ask, 1)
+				}
+				continue
+			}
 			for ; u.Count > 0; u.Count-- {
 				if (at.MaxCPUs > 0 && total.CPUs+u.Need.CPUs > at.MaxCPUs) || (at.MaxGPUs > 0 && total.GPUs+u.Need.GPUs > at.MaxGPUs) {
 					break
@@ -644,6 +666,26 @@
 	return true
 }
 
+// fitGang puts a gang on machines still to be rented, all of it or nothing: what there
+// is takes a part of it at best. Whatever its deadline, since its tasks wait together.
+func (c *Core) fitGang(u *allocation.Unit, w *wish) bool {
+	fresh, want, rented := len(w.fresh), maps.Clone(w.want), w.rented
+	v := *u
+	always := lack{easy: math.Inf(1), tight: math.Inf(1)}
+	for n := 0; n < u.Count; n++ {
+		w.from = 0
+		if !c.fitFresh(&v, always, w) {
+			// What was added has room for others, but nobody asked for it.
+			w.fresh, w.want, w.rented = w.fresh[:fresh], want, rented
+			return false
+		}
+		if u.OneZone && v.Zone == "" && len(w.fresh) > fresh {
+			v.Zone = w.fresh[len(w.fresh)-1].Zone
+		}
+	}
+	return true
+}
+
 // idleTime is how long a machine of a class may be idle. Keeping it as long as
 // its successor would take to boot costs at most twice what the best choice
 // with hindsight costs.
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -46,6 +46,11 @@
 		c.answer(x.Ref, jobs.Later())
 		return
 	}
+	if s.Gang && c.own.Format() < 2 {
+		// A controller of an earlier version would read it as an array.
+		c.answer(x.Ref, jobs.Later())
+		return
+	}
 	if why := c.judge(s); why != "" {
 		// It may have been accepted under other settings; only the state
 		// service knows. Unknown there: refused for good.
@@ -88,12 +93,20 @@
 	if len(s.Types) == 0 {
 		return "a task fits no allowed machine type"
 	}
-	if (team.CPUsMax > 0 && s.CPUs > team.CPUsMax) || (team.GPUsMax > 0 && s.GPUs > team.GPUsMax) {
-		return "a task needs more than the team's limit"
+	// A gang runs whole or not at all.
+	n := 1.0
+	if s.Gang {
+		n = float64(s.Tasks)
+	}
+	if over(n*s.CPUs, team.CPUsMax) || over(n*s.GPUs, team.GPUsMax) {
+		return "the job needs more than the team's limit"
 	}
 	return ""
 }
 
+// over tells whether an amount is beyond a limit, where 0 is none; amounts are decimal.
+func over(amount, limit float64) bool { return limit > 0 && amount > limit+1e-6 }
+
 func contains(list []string, s string) bool {
 	for _, x := range list {
 		if x == s {
--- a/internal/controller/world_machines_test.go
+++ b/internal/controller/world_machines_test.go
@@ -341,6 +341,10 @@
 		}
 	case wire.VerbStop:
 		if t != nil && t.attempt == c.Attempt && t.state != wire.TaskEnded {
+			if g := w.gangs[gangKey{t.job, t.attempt}]; g != nil {
+				g.stop(m, t, c.GraceS)
+				return
+			}
 			t.state, t.cause = wire.TaskEnded, wire.CauseHalted
 		}
 	case wire.VerbLaunch:
@@ -392,6 +396,12 @@
 		w.checkStart(m, t, j)
 		return
 	}
+	if j.gang {
+		t.state = wire.TaskGathering
+		w.checkStart(m, t, j)
+		w.gather(m, t, j)
+		return
+	}
 	t.state = wire.TaskRunning
 	w.checkStart(m, t, j)
 	run := w.between(0.5*j.run, 1.5*j.run)
--- a/internal/controller/world_state_test.go
+++ b/internal/controller/world_state_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"umberpaddle/internal/config"
 	"umberpaddle/internal/wire"
 )
 
@@ -41,10 +42,14 @@
 	events   []simEvent
 	watches  []*simWatch
 	outage   bool
-	refuse   map[int]bool // nodes that get 503 although others are served
-	late     float64      // part of transactions that get no answer and are carried out later
-	unsaid   float64      // part of transactions that are carried out and get no answer
-	slow     float64      // most seconds that a request waits before it is looked at
+	refuse   map[int]bool        // nodes that get 503 although others are served
+	late     float64             // part of transactions that get no answer and are carried out later
+	unsaid   float64             // part of transactions that are carried out and get no answer
+	slow     float64             // most seconds that a request waits before it is looked at
+	now      *config.StateLimits // limits that it holds to; nil: those of the settings
+	tooLarge int                 // transactions refused for their size
+	changes  float64             // left of a second's budget of changes
+	filled   time.Duration
 }
 
 func (s *simStore) setOutage(on bool) {
@@ -213,6 +218,9 @@
 	}
 }
 
+// limit goes over to smaller limits.
+func (s *simStore) limit(l *config.StateLimits) { s.now, s.changes, s.filled = l, l.WriteRPS, s.w.now }
+
 // afterOutage carries out a transaction whose sender has long given it up.
 func (s *simStore) afterOutage(body []byte) {
 	if s.outage {
@@ -238,6 +246,24 @@
 	if err := wire.Decode(body, &t); err != nil {
 		return 400, nil
 	}
+	if l := s.now; l != nil {
+		s.changes = min(l.WriteRPS, s.changes+l.WriteRPS*(s.w.now-s.filled).Seconds())
+		s.filled = s.w.now
+		if len(t.Then) > l.TxnOps || len(t.Guards) > 4*l.TxnOps {
+			s.tooLarge++
+			return 400, nil
+		}
+		for _, o := range t.Then {
+			if float64(len(o.Value)) > l.ValueKB*1024*0.8 {
+				s.tooLarge++
+				return 400, nil
+			}
+		}
+		if float64(len(t.Then)) > s.changes {
+			return 429, nil
+		}
+		s.changes -= float64(len(t.Then))
+	}
 	if len(t.Then) > s.w.cfg.txnOps || len(t.Guards) > 4*s.w.cfg.txnOps || len(body) > 64<<10 {
 		s.w.break_("limits", "transaction of %d changes and %d conditions", len(t.Then), len(t.Guards))
 	}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -29,6 +29,7 @@
 	machines map[string]*simMachine
 	created  []*simMachine // the machines in the order of their names
 	jobs     map[string]*simJob
+	gangs    map[gangKey]*simGang
 	broken   []string // rules broken
 	starts   int
 
@@ -59,6 +60,8 @@
 	types                 []wire.MachineType
 	capacity              map[fleet.Kind]int
 	lease, report, cancel float64
+	gangWait, gangPeer    float64 // 0: 30 and 8
+	next                  *config.StateLimits
 	txnOps                int
 	valueKB               float64
 	writeRPS              float64
@@ -85,8 +88,11 @@
 }
 
 func newWorld(seed uint64, cfg worldConfig) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, machines: map[string]*simMachine{}, jobs: map[string]*simJob{},
+	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, machines: map[string]*simMachine{}, jobs: map[string]*simJob{}, gangs: map[gangKey]*simGang{},
 		cut: map[[2]string]bool{}, held: map[[2]string][]func(){}, trace: func(string, ...any) {}}
+	if w.cfg.gangPeer == 0 {
+		w.cfg.gangWait, w.cfg.gangPeer = 30, 8
+	}
 	w.store = &simStore{w: w, keys: map[string]*simKey{}, leases: map[uint64]*simLease{}, refuse: map[int]bool{}}
 	w.cloud = &simCloud{w: w, hires: map[string][]string{}, left: map[fleet.Kind]int{}}
 	for k, n := range cfg.capacity {
@@ -221,6 +227,8 @@
 	queued []func()
 	// remote, if set, stands for a real process at the other end of a socket.
 	remote func(in any, answer func(int, []byte))
+	// old: it behaves like the version before gangs, whose records it takes and writes.
+	old bool
 }
 
 func (n *simNode) clock() Now {
@@ -242,12 +250,17 @@
 	cl := &set.Cluster
 	cl.Teams = append([]config.Team(nil), n.w.cfg.teams...) // a sabotaged core must not change the checker's
 	cl.Workers.ReportS, cl.Workers.LeaseS, cl.Workers.CancelS = n.w.cfg.report, n.w.cfg.lease, n.w.cfg.cancel
+	cl.Workers.GangWaitS, cl.Workers.GangPeerS = n.w.cfg.gangWait, n.w.cfg.gangPeer
+	cl.State.Next = n.w.cfg.next
 	cl.State.RPS, cl.State.WriteRPS, cl.State.TxnOps, cl.State.ValueKB = 150, n.w.cfg.writeRPS, n.w.cfg.txnOps, n.w.cfg.valueKB
 	cl.Cloud.RPS, cl.Cloud.ListLagS = 3, 4
 	if n.w.cfg.rps > 0 {
 		cl.State.RPS, cl.Cloud.RPS = n.w.cfg.rps, n.w.cfg.cloudRPS
 	}
 	n.core = NewCore(set, &config.Operator{}, n.clock(), n.w.rng.Uint64()>>1|1)
+	if n.old {
+		n.core.own.Reads = 0
+	}
 	life := n.life
 	var tick func()
 	tick = func() {
--- a/internal/controller/world_users_test.go
+++ b/internal/controller/world_users_test.go
@@ -21,6 +21,8 @@
 	doneCount int
 	accepted  bool
 	told      string // final state that was told
+	gang      bool
+	saved     int // times that all its tasks saved
 	cancelAsk bool
 	cancelled time.Duration // when told cancelled
 	lastPoll  time.Duration
@@ -33,7 +35,7 @@
 func (w *world) user(id string, spec map[string]any, run float64) *simJob {
 	spec["id"] = id
 	fill(spec)
-	j := &simJob{id: id, spec: spec, team: spec["crew"].(string), cores: spec["cores"].(float64), tasks: int(spec["sheets"].(int)), run: run, done: map[int]bool{}}
+	j := &simJob{id: id, spec: spec, team: spec["crew"].(string), cores: spec["cores"].(float64), tasks: int(spec["sheets"].(int)), run: run, done: map[int]bool{}, gang: spec["form"] == "gang"}
 	w.jobs[id] = j
 	body := pack(spec)
 	j.body = body
@@ -264,7 +266,11 @@
 // couldBegin tells whether a job has nothing on any machine although one that it
 // allows has room for a task and its team is under its limit.
 func (w *world) couldBegin(j *simJob) bool {
-	room, used := false, 0.0
+	need := 1
+	if j.gang {
+		need = j.tasks
+	}
+	rooms, used := map[string]int{}, 0.0
 	for _, m := range w.created {
 		if m.gone || !m.up {
 			continue
@@ -283,14 +289,25 @@
 			continue
 		}
 		cpu, mem := m.free()
-		room = room || !m.hung && !m.sick && m.recall == 0 && cpu >= j.cores && mem >= j.spec["ramGb"].(float64)
+		if !m.hung && !m.sick && m.recall == 0 {
+			in := "" // a gang's tasks count together, in each zone if it must be one
+			if j.spec["oneZone"] == true {
+				in = m.kind.Zone
+			}
+			rooms[in] += int(min(cpu/j.cores, mem/j.spec["ramGb"].(float64)))
+		}
 	}
 	for _, t := range w.cfg.teams {
-		if t.Name == j.team && t.CPUsMax > 0 && used+j.cores > t.CPUsMax {
+		if t.Name == j.team && t.CPUsMax > 0 && used+float64(need)*j.cores > t.CPUsMax {
 			return false
 		}
 	}
-	return room
+	for _, n := range rooms {
+		if n >= need {
+			return true
+		}
+	}
+	return false
 }
 
 // mustServe checks that everybody's jobs began within four minutes of their acceptance.
@@ -313,7 +330,9 @@
 	w.kept = nil
 }
 
-func onMachine(t *simTask) bool { return t.state == wire.TaskRunning || t.state == wire.TaskSaving }
+func onMachine(t *simTask) bool {
+	return t.state == wire.TaskRunning || t.state == wire.TaskSaving || t.state == wire.TaskGathering
+}
 
 func (w *world) checkCancelled(j *simJob) {
 	for _, id := range sortedKeys(w.machines) {
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -4,8 +4,9 @@
 //
 // Keys: u/o/ID is the job, never rewritten; it goes when the job is final and
 // none of its tasks is left. u/c/ID marks a cancelled job for the owners. The
-// done sets of jobs with few tasks share the keys u/s/CLASS/N; u/p/ID/K holds
-// part K of a larger one. A job's record, or part 0, is written before its first
+// done sets of jobs with few tasks share the keys u/s/CLASS/N; u/q/ID/K holds
+// part K of a larger one, and u/p/ID/K a part twice as large, of versions that know no
+// other. A job's record, or part 0, is written before its first
 // launch, so a job without it has never run. fin/ID is the final state, kept for
 // ever.
 package jobs
@@ -30,6 +31,7 @@
 	keyOpen     = statestore.Root + "o/"
 	keyCancel   = statestore.Root + "c/"
 	keyProgress = statestore.Root + "p/"
+	keyPart     = statestore.Root + "q/"
 	keyDone     = statestore.Root + "s/"
 	keyFinal    = "fin/"
 )
@@ -87,7 +89,7 @@
 	Done        Bits
 	DoneCount   int
 	durable     Bits
-	parts       map[int]uint64 // versions of the written parts of the done set
+	parts       map[string]uint64 // versions of the written parts of the done set, by key
 	dirty       map[int]bool
 	launched    bool // its record is written
 	asked       bool // its record was wished for
@@ -104,6 +106,8 @@
 	Frozen   bool // launched by an earlier owner, whereabouts not yet known
 	Begun    bool // a task of it was seen running, or done
 
+	Start GangStart // of a gang: the attempt under way
+
 	// Failures, for telling a faulty job from a faulty machine.
 	FailedOn  map[string]bool
 	Succeeded bool
@@ -113,6 +117,16 @@
 	shownDone, shownRunning int // counts told by the owner, for display
 }
 
+// GangStart is one attempt of a gang, as its owner follows it. All its tasks have one
+// attempt number.
+type GangStart struct {
+	Attempt uint64          // 0: none is under way
+	Began   bool            // a task of it was seen running: none can be replaced any more
+	Ending  bool            // it has failed: all that is left of it must go before the next
+	Stopped time.Duration   // since when all were told to save and stop; 0: not
+	Left    map[string]bool // machines that a task of it has left
+}
+
 // Running counts the tasks that run.
 func (j *Job) Running() int {
 	n := 0
@@ -218,11 +232,13 @@
 
 	// guard gives the condition under which this node's writes as owner hold.
 	guard func(class string) wire.Guard
+	// format is the form of records that every node reads.
+	format func() int
 }
 
 // New makes an empty book.
-func New(store *statestore.Store, guard func(class string) wire.Guard, log func(string, string, ...any)) *Book {
-	b := &Book{store: store, guard: guard, log: log, Open: map[string]*Job{}, finals: map[string]final{}, told: map[string]time.Duration{}, byRef: map[string]*submit{},
+func New(store *statestore.Store, guard func(class string) wire.Guard, format func() int, log func(string, string, ...any)) *Book {
+	b := &Book{store: store, guard: guard, format: format, log: log, Open: map[string]*Job{}, finals: map[string]final{}, told: map[string]time.Duration{}, byRef: map[string]*submit{},
 		flushAt: map[string]time.Duration{}, orphans: map[string]bool{}, stray: map[string]bool{}, closed: map[string]*Job{}}
 	b.done = statestore.NewPack(store, keyDone, guard, b.applyDone)
 	return b
@@ -241,13 +257,13 @@
 		return
 	}
 	j.launched = true
-	j.durable.merge(0, text, j.Tasks)
-	j.DoneCount += len(j.Done.merge(0, text, j.Tasks))
+	j.durable.merge(0, limits.ChunkTasks, text, j.Tasks)
+	j.DoneCount += len(j.Done.merge(0, limits.ChunkTasks, text, j.Tasks))
 }
 
 // Progress tells whether a key holds done sets.
 func (b *Book) Progress(key string) bool {
-	return strings.HasPrefix(key, keyDone) || strings.HasPrefix(key, keyProgress)
+	return strings.HasPrefix(key, keyDone) || strings.HasPrefix(key, keyProgress) || strings.HasPrefix(key, keyPart)
 }
 
 // Forget drops what was to be written as owner of a class.
@@ -269,8 +285,8 @@
 		if c.Removed {
 			if j := b.Open[id]; j != nil {
 				// Parts that went in the same transaction follow at once.
-				for k := range j.parts {
-					b.orphan(id, k)
+				for key := range j.parts {
+					b.orphan(key)
 				}
 			}
 			b.drop(id)
@@ -291,7 +307,7 @@
 			return
 		}
 		j := &Job{Job: spec, version: c.Entry.Version, Done: newBits(spec.Tasks), durable: newBits(spec.Tasks),
-			parts: map[int]uint64{}, dirty: map[int]bool{}, Placed: map[int]Place{}, FailedOn: map[string]bool{}}
+			parts: map[string]uint64{}, dirty: map[int]bool{}, Placed: map[int]Place{}, FailedOn: map[string]bool{}}
 		if len(spec.Types) > 0 {
 			j.Class0 = spec.Types[0]
 		}
@@ -317,7 +333,11 @@
 		if !c.Removed {
 			b.markCancelled(id)
 		}
-	case strings.HasPrefix(c.Key, keyProgress):
+	case strings.HasPrefix(c.Key, keyProgress), strings.HasPrefix(c.Key, keyPart):
+		tasks := limits.ChunkTasks
+		if strings.HasPrefix(c.Key, keyProgress) {
+			tasks = limits.OldChunkTasks
+		}
 		id, part, ok := strings.Cut(c.Key[len(keyProgress):], "/")
 		k, err := strconv.Atoi(part)
 		j := b.Open[id]
@@ -326,25 +346,24 @@
 		} else if j == nil {
 			b.orphans[c.Key] = true
 		}
-		if !ok || err != nil || j == nil || k < 0 || k*limits.ChunkTasks >= j.Tasks {
+		if !ok || err != nil || j == nil || k < 0 || k*tasks >= j.Tasks {
 			return
 		}
 		if c.Removed {
-			delete(j.parts, k)
+			delete(j.parts, c.Key)
 			return
 		}
 		var p progress
 		if wire.Decode(c.Entry.Value, &p) != nil {
 			return
 		}
-		j.parts[k] = c.Entry.Version
-		j.durable.merge(k, p.Done, j.Tasks)
-		j.DoneCount += len(j.Done.merge(k, p.Done, j.Tasks))
+		j.parts[c.Key] = c.Entry.Version
+		j.durable.merge(k, tasks, p.Done, j.Tasks)
+		j.DoneCount += len(j.Done.merge(k, tasks, p.Done, j.Tasks))
 	}
 }
 
-func (b *Book) orphan(id string, k int) {
-	key := keyProgress + id + "/" + strconv.Itoa(k)
+func (b *Book) orphan(key string) {
 	if _, ok := b.store.Mirror.Get(key); ok {
 		b.orphans[key] = true
 	}
@@ -396,33 +415,48 @@
 			// Guards against jobs that waited for one change each, one after the other,
 			// when many small ones came.
 			wait := min(b.store.WriteWait(statestore.Finish), limits.PrepareWait)
-			b.done.Need(j.Class0, j.ID, j.Done.chunk(0), wait)
+			b.done.Need(j.Class0, j.ID, j.Done.chunk(0, limits.ChunkTasks), wait)
 		}
 	case !j.writing:
 		b.writePart(j, 0, statestore.Roster)
 	}
 }
 
+// writePart writes part k of a done set. As long as a node may run a version that reads
+// only the larger parts, those are written.
 func (b *Book) writePart(j *Job, k int, prio statestore.Priority) {
 	j.writing = true
-	key := keyProgress + j.ID + "/" + strconv.Itoa(k)
-	text := j.Done.chunk(k)
-	delete(j.dirty, k)
+	prefix, tasks, first := keyPart, limits.ChunkTasks, k
+	if b.format() < 2 {
+		prefix, tasks = keyProgress, limits.OldChunkTasks
+		first = k * limits.ChunkTasks / tasks
+	}
+	key := prefix + j.ID + "/" + strconv.Itoa(first)
+	text := j.Done.chunk(first, tasks)
+	var of []int // the parts that this writes
+	for n := first * tasks / limits.ChunkTasks; n < (first+1)*tasks/limits.ChunkTasks; n++ {
+		if j.dirty[n] {
+			delete(j.dirty, n)
+			of = append(of, n)
+		}
+	}
 	t := wire.Txn{
-		Guards: []wire.Guard{b.guard(j.Class0), {Key: keyOpen + j.ID, Version: j.version}, {Key: key, Version: j.parts[k]}},
+		Guards: []wire.Guard{b.guard(j.Class0), {Key: keyOpen + j.ID, Version: j.version}, {Key: key, Version: j.parts[key]}},
 		Then:   []wire.Op{{Key: key, Value: progress{Done: text}}}}
 	b.store.Txn(prio, limits.StoreTimeout*2, t, func(r statestore.Reply) {
 		j.writing = false
 		var tr wire.TxnReply
 		if r.Status == statestore.OK && wire.Decode(r.Body, &tr) == nil {
-			j.parts[k] = max(j.parts[k], tr.Revision)
-			j.durable.merge(k, text, j.Tasks)
+			j.parts[key] = max(j.parts[key], tr.Revision)
+			j.durable.merge(first, tasks, text, j.Tasks)
 			if k == 0 {
 				j.Prepared = true
 			}
 			return
 		}
-		j.dirty[k] = true // the mirror brings the version if it was applied after all
+		for _, n := range of { // the mirror brings the version if it was applied after all
+			j.dirty[n] = true
+		}
 		b.flushAt[j.ID] = b.now + limits.StoreBackoff
 	})
 }
@@ -465,7 +499,7 @@
 			}
 		case flush && j.few() && len(j.dirty) > 0:
 			clear(j.dirty)
-			b.done.Set(j.Class0, j.ID, j.Done.chunk(0), limits.LookEvery)
+			b.done.Set(j.Class0, j.ID, j.Done.chunk(0, limits.ChunkTasks), limits.LookEvery)
 		case flush && !j.writing && len(j.dirty) > 0:
 			for k := 0; k*limits.ChunkTasks < j.Tasks; k++ {
 				if j.dirty[k] {
@@ -509,9 +543,9 @@
 	}
 	// Parts that don't fit into the transaction are swept later: without the
 	// job they mean nothing.
-	for k := 0; !later && k*limits.ChunkTasks < j.Tasks; k++ {
-		if _, ok := j.parts[k]; ok && len(t.Then) < b.store.TxnOps {
-			t.Then = append(t.Then, wire.Op{Remove: keyProgress + id + "/" + strconv.Itoa(k)})
+	for _, key := range slices.Sorted(maps.Keys(j.parts)) {
+		if !later && len(t.Then) < b.store.TxnOps {
+			t.Then = append(t.Then, wire.Op{Remove: key})
 		}
 	}
 	b.store.Txn(prio, limits.StoreTimeout*2, t, func(r statestore.Reply) {
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -18,22 +18,24 @@
 			b.Set(i)
 		}
 	}
-	back := newBits(limits.MaxTasks)
-	added := 0
-	for k := 0; k*limits.ChunkTasks < limits.MaxTasks; k++ {
-		text := b.chunk(k)
-		if len(text) > 3500 {
-			t.Errorf("part %d has %d bytes, a value may have 4096", k, len(text))
+	for tasks, most := range map[int]int{limits.ChunkTasks: 1500, limits.OldChunkTasks: 3500} { // of 2048 and 4096
+		back := newBits(limits.MaxTasks)
+		added := 0
+		for k := 0; k*tasks < limits.MaxTasks; k++ {
+			text := b.chunk(k, tasks)
+			if len(text) > most {
+				t.Errorf("part %d of %d tasks has %d bytes", k, tasks, len(text))
+			}
+			added += len(back.merge(k, tasks, text, limits.MaxTasks))
+			if again := back.merge(k, tasks, text, limits.MaxTasks); len(again) != 0 {
+				t.Errorf("part %d added %d tasks twice", k, len(again))
+			}
 		}
-		added += len(back.merge(k, text, limits.MaxTasks))
-		if again := back.merge(k, text, limits.MaxTasks); len(again) != 0 {
-			t.Errorf("part %d added %d tasks twice", k, len(again))
+		if string(back) != string(b) || added != limits.MaxTasks*2/3 {
+			t.Errorf("%d tasks came back", added)
 		}
 	}
-	if string(back) != string(b) || added != limits.MaxTasks*2/3 {
-		t.Errorf("%d tasks came back", added)
-	}
-	if got := newBits(10).merge(0, "//////8", 10); len(got) != 10 {
+	if got := newBits(10).merge(0, limits.ChunkTasks, "//////8", 10); len(got) != 10 {
 		t.Errorf("bits beyond the job's tasks were taken: %v", got)
 	}
 }
@@ -50,7 +52,7 @@
 func newBench(t *testing.T) *bench {
 	s := statestore.New(1000, 1000, 8, 4)
 	guard := func(string) wire.Guard { return wire.Guard{Key: "u/own/c", Version: 1} }
-	b := &bench{t: t, store: s, book: New(s, guard, func(string, string, ...any) {}), now: time.Second}
+	b := &bench{t: t, store: s, book: New(s, guard, func() int { return limits.RecordFormat }, func(string, string, ...any) {}), now: time.Second}
 	b.tick() // reads the mirror
 	return b
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -36,6 +36,9 @@
 
 // Ownership.
 const (
+	// RecordFormat is the newest form of records that this version reads and writes:
+	// 2 knows gangs and smaller parts of done sets.
+	RecordFormat = 2
 	// NodeLease is the life of a controller's state lease. Shorter finds a dead
 	// owner sooner; longer rides out slow renewals on a small processor share.
 	NodeLease = 3 * time.Second
@@ -89,6 +92,9 @@
 	StoreInFlight = 12
 	// StoreQueue bounds the waiting requests; beyond it the stages before hold back.
 	StoreQueue = 2000
+	// SlowerFor is for how long a node holds to the announced smaller budget of changes
+	// after a refusal: if the change has come, one refusal in that time tells so again.
+	SlowerFor = 2 * time.Minute
 	// DownAfter is for how long the state service must have failed before users are
 	// told so without trying.
 	DownAfter = time.Second
@@ -118,9 +124,11 @@
 	PackLater = time.Second
 	// PackTasks is up to how many tasks a job's done bits go with other jobs'.
 	PackTasks = 1024
-	// ChunkTasks is the number of tasks whose done bits share one key: 2 KiB of
-	// bits, 2.7 KiB as text, which fits a 4 KiB value.
-	ChunkTasks = 16384
+	// ChunkTasks is the number of tasks whose done bits share one key: 1 KiB of bits,
+	// 1.4 KiB as text, which fits a 2 KiB value. OldChunkTasks is the same for versions
+	// that read no format but the first: 2.7 KiB as text.
+	ChunkTasks    = 8192
+	OldChunkTasks = 16384
 	// BatchEvery is the pause between two writes of done bits (design).
 	BatchEvery = 2 * time.Second
 	// LookEvery is how often an owner looks through its jobs for what is to be
@@ -297,6 +305,15 @@
 	DrainSpare = 2 * time.Second
 )
 
+// Gangs.
+const (
+	// GangHold is from what age on room is held for a gang that fits nowhere (design).
+	GangHold = 60 * time.Second
+	// GangStopSlack, beyond a report, is for how long a gang that was told to stop and
+	// save is waited for after gang_peer_s and its saving, before it is ended.
+	GangStopSlack = 2 * time.Second
+)
+
 // The order of work.
 const (
 	// HopefulPart of its estimate is what a task is reckoned to run at least when
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -25,6 +25,7 @@
 	keyMap    = statestore.Root + "map/"
 	keyOwn    = statestore.Root + "own/"
 	keyLast   = statestore.Root + "last/"
+	keyFormat = statestore.Root + "format"
 )
 
 // holder is the value of keys that name a process.
@@ -34,6 +35,9 @@
 	Lease uint64 `msgpack:"l,omitempty"`
 	// Handed marks a mapping that the last owner wrote itself, by HandOver.
 	Handed bool `msgpack:"h,omitempty"`
+	// Format is the newest form of records that a node's version reads, in keyNode, and
+	// in keyFormat what every node of the service read at one time.
+	Format int `msgpack:"f,omitempty"`
 }
 
 type record struct {
@@ -52,6 +56,8 @@
 type Node struct {
 	Name string
 	Inc  uint64
+	// Reads is the newest format that this process says it reads.
+	Reads int
 
 	store  *statestore.Store
 	others []string
@@ -64,6 +70,7 @@
 	leasing   bool
 	nextRenew time.Duration
 
+	format int // of the records that may be written
 	leader record
 	nodes  map[string]record
 	maps   map[string]record
@@ -103,7 +110,7 @@
 // New makes the slice. inc is a random number that names this process's life, blind
 // what Blind says of the workers.
 func New(name string, others []string, inc uint64, start, blind time.Duration, store *statestore.Store, log func(string, string, ...any)) *Node {
-	return &Node{Name: name, Inc: inc, store: store, others: others, log: log, now: start, start: start,
+	return &Node{Name: name, Inc: inc, Reads: limits.RecordFormat, store: store, others: others, log: log, now: start, start: start,
 		nodes: map[string]record{}, maps: map[string]record{}, owns: map[string]record{}, last: map[string]string{},
 		ended: map[uint64]bool{}, claims: map[string]*Claim{}, leaving: map[string]uint64{}, busy: map[string]time.Duration{}, promises: map[string]time.Duration{},
 		vouched: map[string]time.Duration{}, Blind: blind,
@@ -138,6 +145,8 @@
 		}
 	}
 	switch {
+	case c.Key == keyFormat:
+		n.format = max(n.format, r.Format)
 	case c.Key == keyLeader:
 		if r.Node != n.leader.Node || r.Inc != n.leader.Inc {
 			n.log("info", "leader changed", "leader", r.Node, "before", n.leader.Node, "term", r.version)
@@ -366,6 +375,7 @@
 	if n.Leading() && n.now >= n.nextRemap && len(classes) > 0 {
 		n.nextRemap = n.now + limits.RemapEvery
 		n.remap(classes, demand())
+		n.raiseFormat()
 	}
 	n.claim()
 }
@@ -563,7 +573,9 @@
 		if ok {
 			v = r.version
 		}
-		n.try(key, wire.Txn{Guards: []wire.Guard{{Key: key, Version: v}}, Then: []wire.Op{{Key: key, Value: n.self(), Lease: n.lease}}})
+		me := n.self()
+		me.Format = n.Reads
+		n.try(key, wire.Txn{Guards: []wire.Guard{{Key: key, Version: v}}, Then: []wire.Op{{Key: key, Value: me, Lease: n.lease}}})
 	}
 }
 
@@ -620,6 +632,27 @@
 	}
 }
 
+// Format is the form of records that every node reads. Before an upgrade is over it is
+// that of the version before, so that nobody misreads, or loses in rewriting, what
+// another wrote.
+func (n *Node) Format() int { return n.format }
+
+// raiseFormat lets the leader write down that every node reads the present format: it
+// sees them all, and one that was seen so does not come back older.
+func (n *Node) raiseFormat() {
+	if n.format >= limits.RecordFormat || n.nodes[n.Name].Format < limits.RecordFormat {
+		return
+	}
+	for _, o := range n.others {
+		if n.nodes[o].Format < limits.RecordFormat {
+			return
+		}
+	}
+	e, _ := n.store.Mirror.Get(keyFormat)
+	n.try(keyFormat, wire.Txn{Guards: []wire.Guard{{Key: keyLeader, Version: n.leader.version}, {Key: keyFormat, Version: e.Version}},
+		Then: []wire.Op{{Key: keyFormat, Value: holder{Format: limits.RecordFormat}}}})
+}
+
 // claim asks for the classes that are mapped to us and held by nobody. The last
 // owner is written along, for pastOldPromises.
 func (n *Node) claim() {
--- a/internal/statestore/pack.go
+++ b/internal/statestore/pack.go
@@ -101,6 +101,18 @@
 		if w, ok := sh.wishes[id]; ok && bytes.Equal(w.value, v) {
 			delete(sh.wishes, id)
 		}
+		if was := p.of[id]; was != nil && was != sh {
+			// It moved: what is still wished for goes along.
+			if w, ok := was.wishes[id]; ok {
+				delete(was.wishes, id)
+				if !bytes.Equal(w.value, v) {
+					sh.wishes[id] = w
+					sh.due = min(sh.due, was.due)
+					sh.urgent = sh.urgent || was.urgent
+				}
+				p.weigh(was)
+			}
+		}
 		p.of[id] = sh
 		if old, ok := before[id]; !ok || !bytes.Equal(old, v) {
 			p.apply(id, sh.class, v, false)
@@ -214,6 +226,51 @@
 	}
 }
 
+// part is records that move to a key of their own.
+type part struct {
+	sheet *sheet
+	recs  map[string]msgpack.RawMessage
+}
+
+// records is what a key holds once its wishes are written.
+func (sh *sheet) records() map[string]msgpack.RawMessage {
+	recs := maps.Clone(sh.stored)
+	for id, w := range sh.wishes {
+		if w.value == nil {
+			delete(recs, id)
+		} else {
+			recs[id] = w.value
+		}
+	}
+	return recs
+}
+
+// split finds unused keys for what a key holds beyond its room.
+func (p *Pack) split(sh *sheet, recs map[string]msgpack.RawMessage) (list []part) {
+	size, n := 0, 0
+	var to *part
+	for _, id := range slices.Sorted(maps.Keys(recs)) {
+		c := cost(id, recs[id])
+		if size+c <= p.room || size == 0 {
+			size += c
+			if to != nil {
+				to.recs[id] = recs[id]
+			}
+			continue
+		}
+		for ; ; n++ {
+			x := p.sheet(p.prefix + url.PathEscape(sh.class) + "/" + strconv.Itoa(n))
+			if x.version == 0 && len(x.stored) == 0 && len(x.wishes) == 0 {
+				n++
+				list = append(list, part{x, map[string]msgpack.RawMessage{id: recs[id]}})
+				break
+			}
+		}
+		to, size = &list[len(list)-1], c
+	}
+	return list
+}
+
 // Write sends what is due, several keys in one transaction, and one transaction
 // at a time.
 func (p *Pack) Write() {
@@ -237,22 +294,29 @@
 		if urgent != sh.urgent || (!urgent && !p.s.Spare(len(t.Then)+1)) {
 			continue
 		}
-		recs := maps.Clone(sh.stored)
-		for id, w := range sh.wishes {
-			if w.value == nil {
-				delete(recs, id)
-			} else {
-				recs[id] = w.value
+		g := p.guard(sh.class)
+		if g.Version == 0 {
+			continue // not ours to write
+		}
+		recs := sh.records()
+		// Guards against a key that was filled under larger limits and would be refused
+		// for ever: what is too much moves to others, in the same transaction.
+		var moved []part
+		if sh.size > p.room && len(recs) > 1 {
+			if moved = p.split(sh, recs); len(moved) > 0 && len(t.Then)+1+len(moved) > p.s.MaxWrites() && len(t.Then) > 0 {
+				continue // alone, next time
+			}
+			moved = moved[:min(len(moved), max(0, p.s.MaxWrites()-1))]
+			for _, x := range moved {
+				for id := range x.recs {
+					delete(recs, id)
+				}
 			}
 		}
 		raw, err := wire.Encode(recs)
 		if err != nil {
 			continue
 		}
-		g := p.guard(sh.class)
-		if g.Version == 0 {
-			continue // not ours to write
-		}
 		if !guards[sh.class] {
 			guards[sh.class] = true
 			t.Guards = append(t.Guards, g)
@@ -262,6 +326,18 @@
 		total += sh.size
 		sh.urgent = false
 		sent = append(sent, sh)
+		for _, x := range moved {
+			raw, err := wire.Encode(x.recs)
+			if err != nil {
+				continue
+			}
+			t.Guards = append(t.Guards, wire.Guard{Key: x.sheet.key})
+			t.Then = append(t.Then, wire.Op{Key: x.sheet.key, Value: msgpack.RawMessage(raw)})
+			sent = append(sent, x.sheet)
+		}
+		if len(moved) > 0 {
+			break
+		}
 	}
 	if len(sent) == 0 {
 		return
@@ -282,8 +358,9 @@
 			}
 			return
 		}
-		for i, sh := range sent {
-			p.s.Mirror.Put(sh.key, t.Then[i].Value.(msgpack.RawMessage), tr.Revision)
+		// Those that were moved to first: a record is never gone in between.
+		for i := len(sent) - 1; i >= 0; i-- {
+			p.s.Mirror.Put(sent[i].key, t.Then[i].Value.(msgpack.RawMessage), tr.Revision)
 		}
 	})
 }
--- a/internal/statestore/pack_test.go
+++ b/internal/statestore/pack_test.go
@@ -34,10 +34,11 @@
 	rev     uint64
 	term    uint64
 	writes  int
+	limit   int // bytes of a value
 }
 
 func newShelf(t interface{ Fatalf(string, ...any) }) *shelf {
-	h := &shelf{s: New(1000, 1000, 8, 4), known: map[string]string{}, keys: map[string][]byte{}, version: map[string]uint64{}, rev: 10, term: 3}
+	h := &shelf{s: New(1000, 1000, 8, 4), known: map[string]string{}, keys: map[string][]byte{}, version: map[string]uint64{}, rev: 10, term: 3, limit: 4096}
 	h.p = NewPack(h.s, "u/x/", func(class string) wire.Guard { return wire.Guard{Key: "u/own/" + class, Version: h.term} },
 		func(id, class string, v msgpack.RawMessage, gone bool) {
 			var text string
@@ -61,6 +62,9 @@
 	h.p.Write()
 	for _, c := range h.s.Tick(h.now) {
 		txn := c.Body.(wire.Txn)
+		if len(txn.Then) > h.s.TxnOps || len(txn.Guards) > 4*h.s.TxnOps {
+			t.Fatalf("%d changes and %d conditions", len(txn.Then), len(txn.Guards))
+		}
 		what := fate()
 		if what == 2 {
 			h.s.Reply(h.now, c.ID, 0, nil)
@@ -85,7 +89,7 @@
 			if err := wire.Decode(raw, &v); err != nil {
 				t.Fatalf("%v", err)
 			}
-			if text, _ := json.Marshal(v); len(text) > 4096 {
+			if text, _ := json.Marshal(v); len(text) > h.limit {
 				t.Fatalf("%s has %d bytes", op.Key, len(text))
 			}
 		}
@@ -137,6 +141,47 @@
 	})
 }
 
+// TestFullKeysAreSplit guards against a key that was filled under larger limits and is
+// refused for ever under smaller ones: what is too much moves to other keys, nothing is
+// lost or told as gone, and every write fits.
+func TestFullKeysAreSplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newShelf(t)
+		want := map[string]string{}
+		set := func(i int, text string) {
+			id := fmt.Sprintf("i-%06d", i)
+			h.p.Set("c", id, text, 0)
+			want[id] = "c:" + text
+		}
+		records := rapid.IntRange(40, 200).Draw(t, "records")
+		for i := 0; i < records; i++ {
+			set(i, "a zone and a time")
+		}
+		for i := 0; i < 4; i++ {
+			h.step(t, func() int { return 0 })
+		}
+		h.p.room, h.s.TxnOps, h.limit = 768, 4, 1024
+		for i := rapid.IntRange(1, 30).Draw(t, "steps"); i > 0; i-- {
+			if n := rapid.IntRange(0, 250).Draw(t, "id"); rapid.IntRange(0, 3).Draw(t, "what") == 0 {
+				id := fmt.Sprintf("i-%06d", n)
+				h.p.Remove(id, 0)
+				delete(want, id)
+			} else {
+				set(n, fmt.Sprint(rapid.IntRange(0, 1<<40).Draw(t, "value")))
+			}
+			if rapid.Bool().Draw(t, "step") {
+				h.step(t, func() int { return rapid.IntRange(0, 2).Draw(t, "fate") })
+			}
+		}
+		for i := 0; i < 20; i++ {
+			h.step(t, func() int { return 0 })
+		}
+		if d := cmp.Diff(want, h.known); d != "" {
+			t.Fatalf("want, known: %s", d)
+		}
+	})
+}
+
 // TestPackSparesChanges guards against a fleet that waits for minutes until each
 // machine has a key of its own.
 func TestPackSparesChanges(t *testing.T) {
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -95,6 +95,9 @@
 type Store struct {
 	now       time.Duration
 	rps, wps  float64
+	next      float64       // changes a second that the service may go over to; 0: none
+	slower    time.Duration // until when next is held to
+	parts     [2]float64    // of requests and of changes that are this node's
 	reqs      bucket
 	writes    bucket
 	queues    [priorities][]*request
@@ -122,18 +125,34 @@
 	return s
 }
 
+// NextWrites tells of another budget of changes, for which the service may exchange the
+// present one at any moment. Whether it has shows when it refuses some.
+func (s *Store) NextWrites(rate float64) { s.next = rate }
+
 // Share sets which parts of the budgets of requests and of changes this node may use.
 func (s *Store) Share(requests, changes float64) {
+	s.parts = [2]float64{requests, changes}
+	wps := s.wps
+	if s.next > 0 && s.now < s.slower {
+		wps = min(wps, s.next)
+	}
 	s.reqs.rate = max(3, s.rps*requests*limits.BudgetUse)
-	s.writes.rate = max(1, s.wps*changes*limits.BudgetUse)
+	s.writes.rate = max(1, wps*changes*limits.BudgetUse)
 	// Bursts seldom come to all nodes at once, and the service allows a second's
 	// worth: a node may save up more than its part of that.
 	s.reqs.most = max(s.reqs.rate, s.rps*limits.BurstUse)
-	s.writes.most = max(s.writes.rate, s.wps*limits.BurstUse)
+	s.writes.most = max(s.writes.rate, wps*limits.BurstUse)
 }
 
-// MaxWrites is the most changes that one transaction of this node may hold.
-func (s *Store) MaxWrites() int { return max(1, min(s.TxnOps, int(s.writes.most))) }
+// MaxWrites is the most changes that one transaction of this node may hold, now and after
+// an announced change of the budget.
+func (s *Store) MaxWrites() int {
+	most := s.writes.most
+	if s.next > 0 {
+		most = min(most, max(1, s.next*limits.BurstUse))
+	}
+	return max(1, min(s.TxnOps, int(most)))
+}
 
 // Txn queues a transaction. wait bounds the time in the queue (0: no bound);
 // done gets a 503 when it runs out.
@@ -264,6 +283,10 @@
 		s.pause = s.now + limits.StoreBackoff
 	case status == 429:
 		s.pause = s.now + limits.StoreBackoff
+		if f.req.writes > 0 && s.next > 0 {
+			s.slower = s.now + limits.SlowerFor
+			s.Share(s.parts[0], s.parts[1])
+		}
 	default:
 		if f.sent > s.LastOK {
 			s.LastOK = f.sent
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -8,6 +8,12 @@
 	"umberpaddle/internal/limits"
 )
 
+// Forms of jobs.
+const (
+	formArray = "batch"
+	formGang  = "gang"
+)
+
 // Urgency ranks.
 const (
 	UrgencyLow = iota
@@ -31,6 +37,7 @@
 	Team       string   `msgpack:"t"`
 	Urgency    int      `msgpack:"u,omitempty"`
 	Tasks      int      `msgpack:"n"`
+	Gang       bool     `msgpack:"ga,omitempty"` // all tasks run together or none does
 	CPUs       float64  `msgpack:"p"`
 	GPUs       float64  `msgpack:"g,omitempty"`
 	MemoryGB   float64  `msgpack:"m"`
@@ -72,9 +79,11 @@
 	}
 	s.Class = clip(p.text("docket", true))
 	s.Team = p.text("crew", true)
-	if form := p.text("form", true); p.err == nil && form != "batch" {
+	form := p.text("form", true)
+	if p.err == nil && form != formArray && form != formGang {
 		return s, fmt.Errorf("form: unknown value")
 	}
+	s.Gang = form == formGang
 	u := p.text("urgency", true)
 	rank, ok := urgencies[u]
 	if p.err == nil && !ok {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,9 +12,11 @@
 // Task states and causes of a task's end, as workers report them.
 const (
 	TaskFetching = "fetching"
-	TaskRunning  = "running"
-	TaskSaving   = "saving"
-	TaskEnded    = "ended"
+	// TaskGathering is a gang task that waits for the others of its attempt.
+	TaskGathering = "gathering"
+	TaskRunning   = "running"
+	TaskSaving    = "saving"
+	TaskEnded     = "ended"
 
 	CauseDone   = "done"
 	CauseHalted = "halted"
@@ -22,6 +24,10 @@
 	CauseNoRoom = "no_room"
 	CauseInUse  = "in_use"
 	CauseNoSuch = "no_such"
+	// CausePeers and CauseAlone end a gang task: another one is gone, or the gang was
+	// not complete in time.
+	CausePeers = "peers"
+	CauseAlone = "alone"
 )
 
 // Verbs of commands.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -36,8 +36,16 @@
 	}
 }
 
+func TestParseGang(t *testing.T) {
+	m := valid()
+	m["form"] = "gang"
+	if s, err := parse(t, m); err != nil || !s.Gang {
+		t.Errorf("got %+v, %v", s, err)
+	}
+}
+
 func TestParseSubmissionRefuses(t *testing.T) {
-	bad := map[string]any{"id": "job-x", "form": "gang", "urgency": "now", "sheets": 0, "cores": math.NaN(), "ramGb": -1.0,
+	bad := map[string]any{"id": "job-x", "form": "choir", "urgency": "now", "sheets": 0, "cores": math.NaN(), "ramGb": -1.0,
 		"reckonS": math.Inf(1), "crew": 7, "builds": "g8", "oneZone": "yes", "dueS": "soon", "plate": 3, "docket": nil}
 	for field, v := range bad {
 		m := valid()
