A few ordinary machines are left to gangs that should start within seconds

Ordinary machines with room for 1.25 times what such gangs lately asked for at one time, at most 15% of all, take only gangs; those with the images first.

--- a/internal/allocation/allocation.go
+++ b/internal/allocation/allocation.go
@@ -46,6 +46,7 @@
 	Busy   bool            // it has tasks; an idle one may soon be returned
 	coming map[string]bool // images that this run's placements make it fetch
 	held   string          // the only job whose tasks it takes
+	Gangs  bool            // takes only gangs
 }
 
 // Unit is a job's waiting tasks, which are all alike. The algorithm starts one at a
@@ -81,7 +82,7 @@
 func (m *Machine) Keep(job string) { m.held = job }
 
 func (u *Unit) allows(m *Machine) bool {
-	if (m.held != "" && m.held != u.Job) || !u.Classes[m.Class] || (m.Spot && !u.Spot) || (u.Zone != "" && u.Zone != m.Zone) || u.Avoid[m.ID] {
+	if (m.held != "" && m.held != u.Job) || (m.Gangs && !u.Gang) || !u.Classes[m.Class] || (m.Spot && !u.Spot) || (u.Zone != "" && u.Zone != m.Zone) || u.Avoid[m.ID] {
 		return false
 	}
 	if u.OneZone {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -204,8 +204,13 @@
 	nextUse     time.Duration
 	told        map[string][2]int
 	// notices are cancellations of which the owners of classes were not told yet.
-	notices     map[string]map[string]bool
-	nextNotice  time.Duration
+	notices    map[string]map[string]bool
+	nextNotice time.Duration
+	// reserved are machines that take only gangs, and gangPeak how many CPUs those that
+	// should start soon have lately asked for.
+	reserved    map[string]bool
+	gangPeak    float64
+	gangsAt     time.Duration
 	relief      map[string]bool // classes whose machines keep small tasks off scarce ones
 	typesSaved  map[string]bool
 	savingTypes bool
@@ -218,7 +223,7 @@
 func NewCore(set *config.Settings, ops *config.Operator, now Now, random uint64) *Core {
 	c := &Core{set: set, ops: ops, now: now, teams: map[string]*config.Team{},
 		active: map[string]uint64{}, reported: map[attempt]bool{}, numbers: map[uint64]bool{}, orders: map[uint64]*order{}, claimed: map[string]*claimed{}, on: map[string]*host{}, booked: map[string]map[string]booking{}, roster: map[string]rosterEntry{},
-		visits: map[string]time.Duration{}, told: map[string][2]int{}, notices: map[string]map[string]bool{}, relief: map[string]bool{}, typesSaved: map[string]bool{}, recorded: map[string]bool{}, waiting: map[string]bool{}}
+		visits: map[string]time.Duration{}, told: map[string][2]int{}, notices: map[string]map[string]bool{}, reserved: map[string]bool{}, relief: map[string]bool{}, typesSaved: map[string]bool{}, recorded: map[string]bool{}, waiting: map[string]bool{}}
 	for i := range set.Cluster.Teams {
 		c.teams[set.Cluster.Teams[i].Name] = &set.Cluster.Teams[i]
 	}
--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"cmp"
+	"math"
 	"slices"
 
 	"umberpaddle/internal/allocation"
@@ -250,3 +252,80 @@
 	left := m.Recall - c.now.Steady
 	return left <= seconds(j.SaveS+c.set.Cluster.Workers.GangPeerS)+limits.DrainSpare+c.pool.Report*5/4
 }
+
+// reserve leaves some ordinary machines to gangs that should start within seconds. Their
+// tasks are few and small, and the time goes into fetching images, on all their machines
+// at once: where arrays fill whatever is free, each gang comes to machines that lack its
+// image. On machines of their own it is there from the second gang on.
+func (c *Core) reserve(machines []*allocation.Machine) {
+	t := c.now.Steady
+	asked, images, classes := 0.0, map[string]bool{}, map[string]bool{}
+	for _, j := range c.book.Open {
+		if j.Gang && j.Active && !j.Cancelled && !j.Faulty() && c.startWithin(j) > 0 {
+			asked += float64(j.Tasks) * j.CPUs
+			images[j.Image] = true
+			for _, class := range j.Types {
+				classes[class] = true
+			}
+		}
+	}
+	if asked == 0 && c.gangPeak == 0 {
+		return
+	}
+	c.gangPeak = max(asked, c.gangPeak*math.Exp2(-float64(t-c.gangsAt)/float64(limits.GangMemory)))
+	c.gangsAt = t
+	if c.gangPeak < 1 {
+		c.gangPeak = 0
+		clear(c.reserved)
+		return
+	}
+	all, have := 0.0, 0.0
+	at := map[string]bool{}
+	for _, m := range machines {
+		all += m.Size.CPUs
+		at[m.ID] = true
+		if c.reserved[m.ID] {
+			have += m.Size.CPUs
+		}
+	}
+	for id := range c.reserved {
+		if !at[id] {
+			delete(c.reserved, id)
+		}
+	}
+	want := min(limits.GangSpare*c.gangPeak, limits.GangPart*all)
+	if have >= want {
+		for _, m := range machines { // those that are not needed go back, empty of gangs first
+			if c.reserved[m.ID] && !m.Busy && have-m.Size.CPUs >= want {
+				delete(c.reserved, m.ID)
+				m.Gangs = false
+				have -= m.Size.CPUs
+			}
+		}
+		return
+	}
+	// Those that have the images first, then those with most room.
+	score := func(m *allocation.Machine) float64 {
+		s := m.Free.CPUs / m.Size.CPUs
+		for image := range images {
+			if m.Images[image] {
+				s++
+			}
+		}
+		return s
+	}
+	var list []*allocation.Machine
+	for _, m := range machines {
+		if !m.Spot && !c.reserved[m.ID] && (classes[m.Class] || len(classes) == 0) {
+			list = append(list, m)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *allocation.Machine) int { return cmp.Compare(score(b), score(a)) })
+	for _, m := range list {
+		if have+m.Size.CPUs > limits.GangPart*all || have >= want {
+			break
+		}
+		c.reserved[m.ID], m.Gangs = true, true
+		have += m.Size.CPUs
+	}
+}
--- a/internal/controller/gangs_test.go
+++ b/internal/controller/gangs_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"umberpaddle/internal/allocation"
 	"umberpaddle/internal/config"
+	"umberpaddle/internal/jobs"
 	"umberpaddle/internal/wire"
 )
 
@@ -241,3 +243,48 @@
 		}
 	})
 }
+
+// TestGangsHaveMachinesOfTheirOwn guards against gangs that should start within seconds
+// and each came to machines that lacked their image, since arrays filled the others: a
+// few ordinary machines, those with the image first, take only gangs, and are arrays'
+// again once none has come for a while.
+func TestGangsHaveMachinesOfTheirOwn(t *testing.T) {
+	c := testCore(t)
+	c.set.Cluster.Objectives = []config.Objective{{Kind: "wait", Class: "x", WithinS: 5}}
+	var machines []*allocation.Machine
+	for i := 0; i < 40; i++ {
+		m := &allocation.Machine{ID: fmt.Sprintf("i-%02d", i), Class: "small", Zone: "a", Spot: i%2 == 0,
+			Size: allocation.Res{CPUs: 8, Memory: 32}, Free: allocation.Res{CPUs: 8, Memory: 32}, Images: map[string]bool{}}
+		if i == 31 {
+			m.Images["img"], m.Free.CPUs = true, 1
+		}
+		machines = append(machines, m)
+	}
+	c.reserve(machines)
+	if len(c.reserved) != 0 {
+		t.Errorf("without gangs: %v", c.reserved)
+	}
+	gang := &jobs.Job{Job: &wire.Job{ID: "job-1", Class: "x", Gang: true, Tasks: 8, CPUs: 2, Image: "img", Types: []string{"small"}}, Active: true}
+	c.book.Open["job-1"] = gang
+	c.reserve(machines)
+	if n := len(c.reserved); n != 3 || !c.reserved["i-31"] {
+		t.Errorf("for 16 CPUs: %v", c.reserved)
+	}
+	array := &allocation.Unit{Job: "a", Need: allocation.Res{CPUs: 1}, Count: 1000, Classes: map[string]bool{"small": true}, Spot: true}
+	for _, p := range allocation.Run([]*allocation.Team{{Name: "red", Booked: map[string]allocation.Res{}, Units: []*allocation.Unit{array}}}, machines, nil, nil) {
+		if c.reserved[p.Machine.ID] {
+			t.Fatalf("an array's task is on %s", p.Machine.ID)
+		}
+	}
+	gang.Tasks = 80 // more than the part that may be reserved
+	c.reserve(machines)
+	if n := len(c.reserved); n != 6 {
+		t.Errorf("%d of 40 machines", n)
+	}
+	delete(c.book.Open, "job-1")
+	c.now.Steady += 20 * time.Minute
+	c.reserve(machines)
+	if len(c.reserved) != 0 {
+		t.Errorf("long after the last gang: %v", c.reserved)
+	}
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -195,7 +195,7 @@
 // room brings the allocation's picture of a machine up to date.
 func (c *Core) room(m *workers.Machine, mt *wire.MachineType) *allocation.Machine {
 	h := c.hostOf(m.ID)
-	h.room = allocation.Machine{ID: m.ID, Class: m.Class, Zone: m.Zone, Spot: m.Spot, Size: size(mt), Free: size(mt).Add(h.used, -1), Fetch: mt.FetchGBps, Images: m.Images, Busy: len(h.tasks) > 0}
+	h.room = allocation.Machine{Gangs: c.reserved[m.ID], ID: m.ID, Class: m.Class, Zone: m.Zone, Spot: m.Spot, Size: size(mt), Free: size(mt).Add(h.used, -1), Fetch: mt.FetchGBps, Images: m.Images, Busy: len(h.tasks) > 0}
 	return &h.room
 }
 
@@ -333,6 +333,7 @@
 		}
 	}
 	machines, capacity, unseen := c.rooms(false)
+	c.reserve(machines)
 	o := &offer{teams: c.claims(false, unseen), capacity: capacity, largest: c.largest()}
 	c.offer = o
 	o.held = allocation.Hold(o.teams, machines, 1+int(limits.HoldPart*float64(len(machines))))
@@ -710,7 +711,7 @@
 		// Machines that keep small tasks off scarce ones stay: guards against an
 		// incident in which they were returned by the hundred, with the images on
 		// them, and rented anew a few seconds later.
-		if c.tasksOn(m.ID) > 0 || used[m.ID] || c.relief[m.Class] || c.holdsResults(m) {
+		if c.tasksOn(m.ID) > 0 || used[m.ID] || c.reserved[m.ID] || c.relief[m.Class] || c.holdsResults(m) {
 			r.Idle = 0
 			continue
 		}
--- a/internal/controller/world_run_test.go
+++ b/internal/controller/world_run_test.go
@@ -233,6 +233,9 @@
 				w.trace = func(f string, a ...any) { t.Logf("%7.2f %s", w.now.Seconds(), fmt.Sprintf(f, a...)) }
 			}
 			randomJobs(w, 60, 200*time.Second)
+			if seed%4 < 2 {
+				someGangs(20, 200*time.Second, 15)(w)
+			}
 			randomFaults(w, []float64{20, 8, 4}[seed%3], 200*time.Second)
 			w.run(250 * time.Second)
 			w.slow, w.lost, w.repeats, w.copies, w.keep, w.kept, w.looks = 0, 0, 0, 0, 0, nil, false
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -309,6 +309,12 @@
 const (
 	// GangHold is from what age on room is held for a gang that fits nowhere (design).
 	GangHold = 60 * time.Second
+	// GangSpare times what gangs that should start soon have lately asked for at one time is
+	// the room that machines of theirs have, at most GangPart of all; GangMemory is in what
+	// time half of that is forgotten.
+	GangSpare  = 1.25
+	GangPart   = 0.15
+	GangMemory = 60 * time.Second
 	// GangStopSlack, beyond a report, is for how long a gang that was told to stop and
 	// save is waited for after gang_peer_s and its saving, before it is ended.
 	GangStopSlack = 2 * time.Second
