--- a/internal/allocation/allocation.go
+++ b/internal/allocation/allocation.go
@@ -269,14 +269,9 @@
 		}
 		return nil
 	}
-	zones := []string{u.Zone}
-	if u.OneZone && u.Zone == "" {
-		zones = zonesOf(machines)
-	}
-	zone := u.Zone
-	defer func() { u.Zone = zone }()
-	for _, u.Zone = range zones {
-		var chosen []*Machine
+	var chosen []*Machine
+	u.inZones(machines, func() bool {
+		chosen = nil
 		for u.at = nil; len(chosen) < u.Count; {
 			m := take()
 			if m == nil {
@@ -285,7 +280,7 @@
 			chosen = append(chosen, m)
 		}
 		if len(chosen) == u.Count {
-			return chosen
+			return true
 		}
 		for _, m := range chosen {
 			m.Free = m.Free.Add(u.Need, 1)
@@ -293,18 +288,30 @@
 				u.ByZone[m.Zone]--
 			}
 		}
-	}
+		chosen = nil
+		return false
+	})
 	u.at = nil
-	return nil
+	return chosen
 }
 
-// zonesOf lists the machines' zones in order.
-func zonesOf(machines []*Machine) []string {
-	seen := map[string]bool{}
+// inZones tries something in one zone after the other for a unit that must be in one, and
+// once for any other, until it succeeds.
+func (u *Unit) inZones(machines []*Machine, try func() bool) {
+	zone := u.Zone
+	defer func() { u.Zone = zone }()
+	zones := map[string]bool{}
 	for _, m := range machines {
-		seen[m.Zone] = true
+		zones[m.Zone] = true
+	}
+	if !u.OneZone || zone != "" {
+		zones = map[string]bool{zone: true}
+	}
+	for _, u.Zone = range slices.Sorted(maps.Keys(zones)) {
+		if try() {
+			return
+		}
 	}
-	return slices.Sorted(maps.Keys(seen))
 }
 
 // Hold keeps a machine for every overdue unit that fits on none, the one that
@@ -349,13 +356,7 @@
 func holdGang(u *Unit, machines []*Machine, held map[string]bool) bool {
 	var best []*Machine
 	least := math.Inf(1)
-	zones := []string{u.Zone}
-	if u.OneZone && u.Zone == "" {
-		zones = zonesOf(machines)
-	}
-	zone := u.Zone
-	defer func() { u.Zone = zone }()
-	for _, u.Zone = range zones {
+	u.inZones(machines, func() bool {
 		var list []*Machine
 		fits := 0
 		for _, m := range machines {
@@ -365,7 +366,8 @@
 			}
 		}
 		if fits >= u.Count {
-			return false
+			best = nil
+			return true
 		}
 		// The part of a machine that is in use has to end first.
 		sort.SliceStable(list, func(a, b int) bool { return list[a].Size.part(list[a].Free) > list[b].Size.part(list[b].Free) })
@@ -380,7 +382,8 @@
 				break
 			}
 		}
-	}
+		return false
+	})
 	for _, m := range best {
 		m.held, held[m.ID] = u.Job, true
 	}
--- a/internal/allocation/allocation_test.go
+++ b/internal/allocation/allocation_test.go
@@ -292,3 +292,95 @@
 		t.Errorf("without the image it went to %s", m.ID)
 	}
 }
+
+// TestGangIsPlacedWholeOrNotAtAll: for drawn machines and gangs next to arrays, no gang has
+// a part of its tasks placed, none is spread over zones that must be in one, no machine
+// takes more than it has, and no team more than its limit.
+func TestGangIsPlacedWholeOrNotAtAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var machines []*Machine
+		free := map[*Machine]Res{}
+		for i := rapid.IntRange(1, 12).Draw(t, "machines"); i > 0; i-- {
+			m := machine(fmt.Sprint(i), float64(rapid.IntRange(0, 16).Draw(t, "cpus")))
+			m.Size, m.Zone = Res{CPUs: 16, Memory: 100}, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone")
+			machines, free[m] = append(machines, m), m.Free
+		}
+		var teams []*Team
+		asked := map[*Unit]int{}
+		for _, name := range []string{"a", "b"} {
+			team := &Team{Name: name, Booked: map[string]Res{}, MaxCPUs: float64(rapid.IntRange(4, 80).Draw(t, "limit"))}
+			for i := rapid.IntRange(0, 5).Draw(t, "units"); i > 0; i-- {
+				u := unit(fmt.Sprint(name, i), float64(rapid.IntRange(1, 8).Draw(t, "need")), rapid.IntRange(1, 12).Draw(t, "count"))
+				u.Gang, u.OneZone, u.Overdue = rapid.Bool().Draw(t, "gang"), rapid.Bool().Draw(t, "oneZone"), rapid.Bool().Draw(t, "overdue")
+				team.Units, asked[u] = append(team.Units, u), u.Count
+			}
+			teams = append(teams, team)
+		}
+		if rapid.Bool().Draw(t, "hold") {
+			Hold(teams, machines, 3)
+		}
+		got, zones, byTeam := map[*Unit]int{}, map[*Unit]map[string]bool{}, map[string]float64{}
+		for _, p := range Run(teams, machines, map[string]Res{"c": {CPUs: 96, Memory: 600}}, nil) {
+			got[p.Unit]++
+			if zones[p.Unit] == nil {
+				zones[p.Unit] = map[string]bool{}
+			}
+			zones[p.Unit][p.Machine.Zone] = true
+			free[p.Machine] = free[p.Machine].Add(p.Unit.Need, -1)
+			byTeam[p.Team] += p.Unit.Need.CPUs
+		}
+		for u, n := range got {
+			if u.Gang && n != asked[u] {
+				t.Fatalf("%d of %d tasks of a gang are placed", n, asked[u])
+			}
+			if u.OneZone && len(zones[u]) > 1 {
+				t.Fatalf("in zones %v", zones[u])
+			}
+		}
+		for m, f := range free {
+			if f.CPUs < -eps || f.CPUs != m.Free.CPUs {
+				t.Fatalf("%s has %v left, thinks %v", m.ID, f.CPUs, m.Free.CPUs)
+			}
+		}
+		for _, team := range teams {
+			if byTeam[team.Name] > team.MaxCPUs+eps {
+				t.Fatalf("%s has %v of %v", team.Name, byTeam[team.Name], team.MaxCPUs)
+			}
+		}
+	})
+}
+
+// TestRoomIsHeldForOneGang: two gangs that have waited for long and fit nowhere as a whole
+// don't each keep half of what one needs; the room is there once the held machines are free.
+func TestRoomIsHeldForOneGang(t *testing.T) {
+	var machines []*Machine
+	for i := 0; i < 4; i++ {
+		m := machine(fmt.Sprint(i), float64(2*i))
+		m.Size = Res{CPUs: 8, Memory: 100}
+		machines = append(machines, m)
+	}
+	a, b := unit("a", 4, 4), unit("b", 4, 4)
+	for _, u := range []*Unit{a, b} {
+		u.Gang, u.Overdue = true, true
+	}
+	team := &Team{Name: "t", Booked: map[string]Res{}, Units: []*Unit{a, b}}
+	held := Hold([]*Team{team}, machines, 2)
+	if len(held) != 2 || !held["3"] || !held["2"] {
+		t.Errorf("held %v, want the two machines with most room", held)
+	}
+	for _, m := range machines {
+		if held[m.ID] && m.held != "a" {
+			t.Errorf("%s is held for %s", m.ID, m.held)
+		}
+	}
+	fill := unit("c", 1, 100)
+	Run([]*Team{{Name: "o", Booked: map[string]Res{}, Units: []*Unit{fill}}}, machines, nil, nil)
+	for _, m := range machines {
+		if held[m.ID] {
+			m.Free.CPUs = 8 // what ran there has ended
+		}
+	}
+	if ps := Run([]*Team{team}, machines, nil, nil); len(ps) != 4 || a.Count != 0 {
+		t.Errorf("%d placed", len(ps))
+	}
+}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -211,6 +211,7 @@
 	reserved    map[string]bool
 	gangPeak    float64
 	gangsAt     time.Duration
+	nextReserve time.Duration
 	relief      map[string]bool // classes whose machines keep small tasks off scarce ones
 	typesSaved  map[string]bool
 	savingTypes bool
--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -259,6 +259,10 @@
 // image. On machines of their own it is there from the second gang on.
 func (c *Core) reserve(machines []*allocation.Machine) {
 	t := c.now.Steady
+	if t < c.nextReserve {
+		return // sorting the machines at every look would cost a tenth of a small share
+	}
+	c.nextReserve = t + limits.ReserveEvery
 	asked, images, classes := 0.0, map[string]bool{}, map[string]bool{}
 	for _, j := range c.book.Open {
 		if j.Gang && j.Active && !j.Cancelled && !j.Faulty() && c.startWithin(j) > 0 {
--- a/internal/controller/gangs_test.go
+++ b/internal/controller/gangs_test.go
@@ -264,6 +264,7 @@
 	if len(c.reserved) != 0 {
 		t.Errorf("without gangs: %v", c.reserved)
 	}
+	c.now.Steady += time.Minute
 	gang := &jobs.Job{Job: &wire.Job{ID: "job-1", Class: "x", Gang: true, Tasks: 8, CPUs: 2, Image: "img", Types: []string{"small"}}, Active: true}
 	c.book.Open["job-1"] = gang
 	c.reserve(machines)
@@ -276,6 +277,7 @@
 			t.Fatalf("an array's task is on %s", p.Machine.ID)
 		}
 	}
+	c.now.Steady += time.Second
 	gang.Tasks = 80 // more than the part that may be reserved
 	c.reserve(machines)
 	if n := len(c.reserved); n != 6 {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -315,6 +315,8 @@
 	GangSpare  = 1.25
 	GangPart   = 0.15
 	GangMemory = 60 * time.Second
+	// ReserveEvery spaces the looks for such machines.
+	ReserveEvery = 500 * time.Millisecond
 	// GangStopSlack, beyond a report, is for how long a gang that was told to stop and
 	// save is waited for after gang_peer_s and its saving, before it is ended.
 	GangStopSlack = 2 * time.Second
