Takeovers complete gangs; guarantees hold for gangs; faulty jobs stay known

- A gang that a takeover finds incomplete and not begun is completed under its attempt number, if none of its tasks has ended and its age leaves time within gang_wait_s: all machines are resolved under our term by then, so nothing of it is elsewhere.
One that was being stopped is told to stop again, so that it saves.
- Room that other teams borrow is claimed for whole gangs within a guarantee, on several machines at once, or not at all.
- Owners tell peers which jobs fail everywhere, and a new owner asks: a faulty job gets no first wave again.
A faulty gang has no room held and does not run out of machines to try.

--- a/internal/allocation/allocation_test.go
+++ b/internal/allocation/allocation_test.go
@@ -100,8 +100,10 @@
 			teams, byName[name] = append(teams, tm), tm
 		}
 		var loans []Loan
+		var machines []*Machine
 		for i := rapid.IntRange(1, 6).Draw(t, "machines"); i > 0; i-- {
 			m := machine(fmt.Sprint("m", i), 0)
+			machines = append(machines, m)
 			m.Size = Res{CPUs: 16, Memory: 100}
 			free := 16.0
 			for free > 0 {
@@ -137,7 +139,7 @@
 			total[tm.Name] = tm.total().CPUs
 		}
 		used, made := map[int]bool{}, map[string]int{}
-		out := Return(teams, loans, pending, most)
+		out := Return(teams, machines, loans, pending, most)
 		if len(out) > most {
 			t.Fatalf("%d claims of %d", len(out), most)
 		}
@@ -384,3 +386,78 @@
 		t.Errorf("%d placed", len(ps))
 	}
 }
+
+// TestReturnMakesRoomForWholeGangs checks drawn inputs: what a gang within its team's
+// guarantee claims makes room for all its tasks, in one zone if it must be in one, and takes
+// no team below its own guarantee; or it claims nothing.
+func TestReturnMakesRoomForWholeGangs(t *testing.T) {
+	claimed := 0
+	rapid.Check(t, func(t *rapid.T) {
+		owner := &Team{Name: "owner", Booked: map[string]Res{}, Guarantee: Res{CPUs: float64(rapid.IntRange(8, 64).Draw(t, "guarantee"))}}
+		lenders := []*Team{
+			{Name: "guest", Booked: map[string]Res{}},
+			{Name: "other", Booked: map[string]Res{}, Guarantee: Res{CPUs: float64(rapid.IntRange(8, 40).Draw(t, "other's guarantee"))}},
+		}
+		var machines []*Machine
+		var loans []Loan
+		booked := map[string]float64{}
+		for i := rapid.IntRange(2, 8).Draw(t, "machines"); i > 0; i-- {
+			m := machine(fmt.Sprint("m", i), float64(rapid.IntRange(0, 6).Draw(t, "free")))
+			m.Size, m.Zone = Res{CPUs: 16, Memory: 100}, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")
+			machines = append(machines, m)
+			for left := m.Size.CPUs - m.Free.CPUs; left >= 1; {
+				cpus := float64(rapid.IntRange(1, int(left)).Draw(t, "cpus"))
+				left -= cpus
+				lender := lenders[rapid.IntRange(0, 1).Draw(t, "lender")]
+				lender.Booked["c"] = lender.Booked["c"].Add(Res{CPUs: cpus}, 1)
+				booked[lender.Name] += cpus
+				if rapid.IntRange(0, 3).Draw(t, "saves") > 0 {
+					loans = append(loans, Loan{ID: len(loans), Team: lender.Name, Machine: m, Need: Res{CPUs: cpus}})
+				}
+			}
+		}
+		gang := unit("gang", float64(rapid.IntRange(1, 8).Draw(t, "need")), rapid.IntRange(2, 6).Draw(t, "count"))
+		gang.Gang, gang.OneZone = true, rapid.Bool().Draw(t, "one zone")
+		gang.ByZone = map[string]int{}
+		owner.Units = []*Unit{gang}
+		claims := Return(append(lenders, owner), machines, loans, map[string]int{}, len(machines))
+		if len(claims) == 0 {
+			return
+		}
+		claimed++
+		if gang.Need.CPUs*float64(gang.Count) > owner.Guarantee.CPUs+eps {
+			t.Fatal("a gang beyond its team's guarantee claims room")
+		}
+		fits, zones, used := 0, map[string]bool{}, map[int]bool{}
+		largest := map[string]float64{} // loan taken, by team
+		for _, c := range claims {
+			free := c.Machine.Free
+			for _, l := range c.Loans {
+				if l.Machine != c.Machine || used[l.ID] {
+					t.Fatalf("loan %d is not on %s, or is taken twice", l.ID, c.Machine.ID)
+				}
+				used[l.ID] = true
+				free = free.Add(l.Need, 1)
+				booked[l.Team] -= l.Need.CPUs
+				largest[l.Team] = max(largest[l.Team], l.Need.CPUs)
+			}
+			fits += gang.Need.Times(free)
+			zones[c.Machine.Zone] = true
+		}
+		if fits < gang.Count {
+			t.Fatalf("room for %d of %d tasks", fits, gang.Count)
+		}
+		if gang.OneZone && len(zones) > 1 {
+			t.Fatalf("in zones %v", zones)
+		}
+		for _, lender := range lenders {
+			// Only the last loan may cross the bound, as for single tasks.
+			if last := largest[lender.Name]; last > 0 && booked[lender.Name]+last <= lender.Guarantee.CPUs {
+				t.Fatalf("%s is left with %v of %v", lender.Name, booked[lender.Name], lender.Guarantee.CPUs)
+			}
+		}
+	})
+	if claimed < 20 {
+		t.Errorf("only %d claims: the draw shows little", claimed)
+	}
+}
--- a/internal/allocation/loan.go
+++ b/internal/allocation/loan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -27,16 +28,17 @@
 // fits nowhere gets room from teams that run beyond theirs (deployment page:
 // what is borrowed must be returned), and an urgent unit from low loans. pending
 // counts the tasks of each job that room is on its way for, and at most most
-// claims are made. It belongs after Run, which has placed what fits.
-func Return(teams []*Team, loans []Loan, pending map[string]int, most int) []Claim {
+// claims are made, or those of one gang. A gang gets room for all its tasks, on several machines, or none;
+// some of these may have no loans and are only to be kept for it. It belongs after Run,
+// which has placed what fits.
+func Return(teams []*Team, machines []*Machine, loans []Loan, pending map[string]int, most int) []Claim {
 	byMachine := map[*Machine][]Loan{}
-	var machines []*Machine
 	for _, l := range loans {
-		if byMachine[l.Machine] == nil {
-			machines = append(machines, l.Machine)
-		}
 		byMachine[l.Machine] = append(byMachine[l.Machine], l)
 	}
+	for _, list := range byMachine {
+		sort.SliceStable(list, func(a, b int) bool { return list[a].Need.CPUs > list[b].Need.CPUs })
+	}
 	totals, guarantees := map[string]Res{}, map[string]Res{}
 	for _, t := range teams {
 		totals[t.Name], guarantees[t.Name] = t.total(), t.Guarantee
@@ -51,7 +53,29 @@
 	for _, t := range teams {
 		total := t.total()
 		for _, u := range t.Units {
-			if u.Gang { // room for one task alone is of no use to it
+			if u.Gang {
+				in := t.guaranteed(total, u.ask())
+				if !(in || u.Urgent) || u.Count <= 0 || !t.underLimit(total, u.ask()) {
+					continue
+				}
+				total = total.Add(u.ask(), 1)
+				if pending[u.Job] > 0 {
+					continue
+				}
+				claims := claimGang(u, machines, byMachine, func(l Loan, taken Res) bool {
+					return l.Team != t.Name && beyond(l.Team, taken) && (in || l.Low)
+				})
+				if len(out) > 0 && len(out)+len(claims) > most {
+					continue // one gang at least, however many machines it needs
+				}
+				for _, c := range claims {
+					c.Machine.Keep(u.Job) // nobody else's claim counts on its room
+					delete(byMachine, c.Machine)
+					for _, l := range c.Loans {
+						totals[l.Team] = totals[l.Team].Add(l.Need, -1)
+					}
+				}
+				out = append(out, claims...)
 				continue
 			}
 			n := u.Count
@@ -93,9 +117,7 @@
 		free, cost := m.Free, 0.0
 		var take []Loan
 		taken := map[string]Res{}
-		list := loans[m]
-		sort.SliceStable(list, func(a, b int) bool { return list[a].Need.CPUs > list[b].Need.CPUs })
-		for _, l := range list {
+		for _, l := range loans[m] {
 			if u.Need.Fits(free) {
 				break
 			}
@@ -111,3 +133,110 @@
 	}
 	return best, best.Machine != nil
 }
+
+// gangRoom is what one machine offers a gang: the loans taken so far, and the tasks that
+// fit once these have ended.
+type gangRoom struct {
+	machine *Machine
+	free    Res
+	loans   []Loan // not taken yet
+	taken   []Loan
+	fits    int
+}
+
+// next finds the least that has to be taken in addition for one task more to fit. taken is
+// what is taken already, by team.
+func (r *gangRoom) next(need Res, taken map[string]Res, may func(l Loan, taken Res) bool) (loans []Loan, cost float64, ok bool) {
+	free, here := r.free, map[string]Res{}
+	for _, l := range r.loans {
+		if !may(l, taken[l.Team].Add(here[l.Team], 1)) {
+			continue
+		}
+		here[l.Team] = here[l.Team].Add(l.Need, 1)
+		loans = append(loans, l)
+		cost += l.Need.CPUs
+		if free = free.Add(l.Need, 1); need.Times(free) > r.fits {
+			return loans, cost, true
+		}
+	}
+	return nil, 0, false
+}
+
+// take ends loans in favour of the gang.
+func (r *gangRoom) take(need Res, loans []Loan) {
+	for _, l := range loans {
+		r.free = r.free.Add(l.Need, 1)
+		r.taken = append(r.taken, l)
+		r.loans = slices.DeleteFunc(slices.Clone(r.loans), func(x Loan) bool { return x.ID == l.ID })
+	}
+	r.fits = need.Times(r.free)
+}
+
+// claimGang chooses the machines on which the least has to end for a whole gang, in one
+// zone if it must be in one. may tells whether a loan may be taken after others of its team.
+func claimGang(u *Unit, machines []*Machine, loans map[*Machine][]Loan, may func(l Loan, taken Res) bool) []Claim {
+	var best []Claim
+	least := math.Inf(1)
+	u.inZones(machines, func() bool {
+		if claims, cost := claimGangHere(u, machines, loans, may); claims != nil && cost < least-eps {
+			best, least = claims, cost
+		}
+		return false
+	})
+	return best
+}
+
+// claimGangHere is claimGang for the zones that the unit allows at the moment.
+func claimGangHere(u *Unit, machines []*Machine, loans map[*Machine][]Loan, may func(l Loan, taken Res) bool) ([]Claim, float64) {
+	var rooms []*gangRoom
+	for _, m := range machines {
+		if u.Need.Fits(m.Size) && u.allows(m) {
+			rooms = append(rooms, &gangRoom{machine: m, free: m.Free, loans: loans[m], fits: u.Need.Times(m.Free)})
+		}
+	}
+	fits := func() int {
+		n := 0
+		for _, r := range rooms {
+			n += r.fits
+		}
+		return n
+	}
+	if u.Spread || fits() >= u.Count {
+		return nil, 0 // by zones, or placed by the next run
+	}
+	taken, total := map[string]Res{}, 0.0
+	for fits() < u.Count {
+		var chosen *gangRoom
+		var take []Loan
+		cost := math.Inf(1)
+		for _, r := range rooms {
+			list, c, ok := r.next(u.Need, taken, may)
+			if ok && c < cost-eps {
+				chosen, take, cost = r, list, c
+			}
+		}
+		if chosen == nil {
+			return nil, 0
+		}
+		chosen.take(u.Need, take)
+		total += cost
+		for _, l := range take {
+			taken[l.Team] = taken[l.Team].Add(l.Need, 1)
+		}
+	}
+	// Machines whose tasks end first, then those with most room: fewest are kept.
+	sort.SliceStable(rooms, func(a, b int) bool {
+		x, y := rooms[a], rooms[b]
+		if (len(x.taken) > 0) != (len(y.taken) > 0) {
+			return len(x.taken) > 0
+		}
+		return x.fits > y.fits
+	})
+	var claims []Claim
+	for n := 0; n < u.Count; {
+		r := rooms[len(claims)]
+		claims = append(claims, Claim{u, r.machine, r.taken})
+		n += r.fits
+	}
+	return claims, total
+}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -113,6 +113,8 @@
 	Terms     map[string]uint64
 	Counts    map[string][2]int
 	Cancelled []string
+	// Faulty are jobs that fail everywhere. Versions without the field skip it.
+	Faulty []string
 }
 
 // PeerAnswer answers a PeerMessage. Where a promise was wished for, it also carries the
@@ -123,6 +125,9 @@
 	Vouch     bool
 	Behind    time.Duration
 	Cancelled []string
+	// Faulty are jobs that earlier owners told this peer of and that the asker did not
+	// name. Versions without the field skip it.
+	Faulty []string
 }
 
 const (
@@ -430,6 +435,7 @@
 		c.active[class] = cl.Term
 		c.waiting[class] = true
 		c.dirty, c.regroup = true, true
+		c.told = nil
 		for id, e := range c.roster {
 			if e.Class == class {
 				if e.Up {
@@ -649,22 +655,28 @@
 	c.nextTell = t + limits.ProgressEvery
 	counts := map[string][2]int{}
 	seen := map[string][2]int{}
+	var faulty []string
 	for id, j := range c.book.Open {
 		if !j.Active {
 			continue
 		}
+		if j.Faulty() && !j.Cancelled {
+			faulty = append(faulty, id)
+		}
 		v := [2]int{j.DoneCount, j.Running()}
 		seen[id] = v
 		if c.told[id] != v {
 			counts[id] = v
 		}
 	}
+	first := c.told == nil // a new owner also asks which jobs are faulty
 	c.told = seen
-	if len(counts) == 0 {
+	if len(counts) == 0 && len(faulty) == 0 && !first {
 		return
 	}
+	slices.Sort(faulty)
 	for _, p := range c.set.Others {
-		c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.set.Label, Counts: counts}})
+		c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.set.Label, Counts: counts, Faulty: faulty}})
 	}
 }
 
@@ -689,7 +701,9 @@
 	for id, v := range x.Msg.Counts {
 		c.book.Shown(id, v[0], v[1])
 	}
-	c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: PeerAnswer{Yes: true}})
+	// Guards against a faulty job that got its first wave of tasks again from every owner.
+	c.book.Suspect(x.Msg.Faulty)
+	c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: PeerAnswer{Yes: true, Faulty: c.book.Suspects(x.Msg.Faulty)}})
 }
 
 // peerAnswered takes in what came of a message to a peer.
@@ -709,6 +723,7 @@
 		c.own.Vouched(peer, x.Call.Sent, a.Vouch, a.Behind)
 		c.own.Promised(peer, x.Call.Sent, a.Yes)
 	case a.Yes:
+		c.book.Suspect(a.Faulty)
 		for _, id := range m.Cancelled {
 			delete(c.notices[peer], id)
 		}
--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -23,8 +23,10 @@
 		return false
 	}
 	u.Avoid = map[string]bool{}
-	for id := range j.FailedOn {
-		u.Avoid[id] = true
+	if !j.Faulty() { // one that fails everywhere would have nowhere left to try
+		for id := range j.FailedOn {
+			u.Avoid[id] = true
+		}
 	}
 	for id := range j.Start.Left { // an attempt that was cleared must not come back there
 		u.Avoid[id] = true
@@ -32,7 +34,8 @@
 	for _, id := range held[j.ID] {
 		u.Avoid[id] = true
 	}
-	u.Overdue = c.age(j.SubmitUnix) > limits.GangHold
+	// Guards against gangs that fail everywhere and have room held for each try in turn.
+	u.Overdue = !j.Faulty() && c.age(j.SubmitUnix) > limits.GangHold
 	return u.Count > 0
 }
 
@@ -226,21 +229,58 @@
 	}
 }
 
-// adoptGang goes on with an attempt of an earlier owner if all its tasks are there, and
-// ends it otherwise.
+// adoptGang goes on with an attempt of an earlier owner. An attempt that was being stopped
+// is told to stop once more, one that lacks tasks and has not begun is completed under its
+// number, and what can't go on is ended.
 func (c *Core) adoptGang(j *jobs.Job) {
-	whole := len(j.Placed) == j.Tasks
+	mixed, saving := false, false
 	for _, task := range j.PlacedTasks() {
 		p := j.Placed[task]
 		if j.Start.Attempt == 0 {
 			j.Start = jobs.GangStart{Attempt: p.Attempt, Left: map[string]bool{}}
 		}
-		whole = whole && p.Attempt == j.Start.Attempt && p.State != jobs.Saving
+		mixed = mixed || p.Attempt != j.Start.Attempt
+		saving = saving || p.State == jobs.Saving
 		j.Start.Began = j.Start.Began || p.State >= jobs.Running
 	}
-	if !whole {
+	switch whole := len(j.Placed) == j.Tasks; {
+	case mixed:
+		c.endGang(j, "mixed attempts at a takeover")
+	case saving:
+		// Guards against progress that was lost although a part of the gang saved: the
+		// owner before had told only some of the tasks.
+		j.Start.Stopped = c.now.Steady
+		c.tellGang(j, "")
+	case whole:
+	case j.Start.Began || !c.canComplete(j):
 		c.endGang(j, "not whole at a takeover")
+	default:
+		c.dirty = true
+		c.log("info", "gang attempt is completed", "job", j.ID, "attempt", j.Start.Attempt, "missing", j.Waiting())
+	}
+}
+
+// canComplete tells whether the missing tasks of an attempt that an earlier owner started
+// may still be launched under its number. Where the others are is known: every machine was
+// resolved under our term, so no order of the earlier owner can start a task any more. No
+// task of the attempt has waited for longer than the job's age, so it is not about to give
+// up as long as the job is young.
+func (c *Core) canComplete(j *jobs.Job) bool {
+	for _, m := range c.pool.Machines {
+		for _, t := range m.Tasks {
+			if id, _ := jobs.SplitTask(t.Task); id == j.ID && t.Attempt == j.Start.Attempt && t.State == wire.TaskEnded {
+				return false // the others learn of it, or give up
+			}
+		}
+	}
+	fetch := 0.0
+	for _, class := range j.Types {
+		if t := c.fleet.Types[class]; t != nil && t.FetchGBps > 0 {
+			fetch = max(fetch, j.ImageGB/t.FetchGBps)
+		}
 	}
+	wait := seconds(c.set.Cluster.Workers.GangWaitS)
+	return c.age(j.SubmitUnix)+seconds(fetch)+limits.GangCompletion < wait
 }
 
 // gangLeaves tells whether a machine's end is so near that a gang with a task on it has
--- a/internal/controller/gangs_test.go
+++ b/internal/controller/gangs_test.go
@@ -52,6 +52,18 @@
 	}
 }
 
+// gatheringMachine is a machine with a task of a gang that has not begun, if there is one.
+func (w *world) gatheringMachine() *simMachine {
+	for _, m := range w.created {
+		for _, id := range m.order {
+			if t := m.tasks[id]; t != nil && t.job.gang && (t.state == wire.TaskFetching || t.state == wire.TaskGathering) {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
 // gangMeetings are meetings of troubles with gangs. One attempt that outlives another, a
 // part of a gang that starts anew and a gang called done too early all break rules.
 var gangMeetings = []meeting{
@@ -113,6 +125,18 @@
 		}
 		return 60 * s
 	}, without: noWaiting, breaks: "ran_twice mixed in_use quota sums"},
+	{name: "the leader ends while gangs gather, machines hang and die", quiet: true, setup: someGangs(40, 110*s, 20), play: func(w *world) time.Duration {
+		for at := time.Duration(0); at < 50*s; at += 8 * s {
+			w.after(at, func() {
+				if m := w.gatheringMachine(); m != nil {
+					m.hang(20)
+					w.after(w.between(1, 6), m.die)
+				}
+				w.after(w.between(0.1, 2), func() { w.endOwner(w.between(0.1, 3)) })
+			})
+		}
+		return 60 * s
+	}, without: noWaiting, breaks: "ran_twice mixed in_use quota sums"},
 	{name: "gangs called off as they start and end", quiet: true, setup: func(w *world) {
 		w.atEnd, w.looks = 0.4, true
 		someGangs(40, 100*s, 12)(w)
@@ -184,6 +208,107 @@
 	}
 }
 
+// gatherAcrossATakeover starts a gang of which one task can't come to its image, since its
+// machine hangs; then the owner ends, and that machine for good.
+func gatherAcrossATakeover(cfg worldConfig, seed uint64, sabotage func(*Core)) (w *world, gang *simJob) {
+	cfg.gangWait = 60
+	w = newWorld(seed, cfg)
+	w.user("job-000001", spec("blue", 8, 4, 60), 60) // machines are there
+	w.run(40 * time.Second)
+	gang = w.user("job-000002", gangSpec("blue", 4, 4, 15), 15)
+	var waiting func()
+	waiting = func() {
+		for _, m := range w.created {
+			for _, x := range m.tasks {
+				if x.job == gang && x.state == wire.TaskFetching {
+					w.sabotage = sabotage
+					m.hang(time.Minute)
+					w.after(4*time.Second, func() { w.endOwner(2 * time.Second) })
+					w.after(4500*time.Millisecond, m.die)
+					return
+				}
+			}
+		}
+		w.after(10*time.Millisecond, waiting)
+	}
+	waiting()
+	w.run(w.now + 150*time.Second)
+	return w, gang
+}
+
+// TestTakeoverCompletesAGang: a gang that waits for one task when its owner ends is
+// completed by the next one under the same attempt number. One that ends what it finds
+// incomplete starts a second attempt.
+func TestTakeoverCompletesAGang(t *testing.T) {
+	attempts := func(w *world, gang *simJob) (n int) {
+		for key := range w.gangs {
+			if key.job == gang {
+				n++
+			}
+		}
+		return n
+	}
+	withNodes(t, 3, func(t *testing.T, cfg worldConfig, seed uint64) {
+		w, gang := gatherAcrossATakeover(cfg, seed, nil)
+		w.mustKeepRules(t)
+		w.mustFinish(t)
+		if n := attempts(w, gang); n != 1 {
+			t.Errorf("%d attempts", n)
+		}
+	})
+	w, gang := gatherAcrossATakeover(standardWorld(), 1, func(c *Core) { c.set.Cluster.Workers.GangWaitS = 0 })
+	if n := attempts(w, gang); n < 2 {
+		t.Errorf("%d attempts although nothing is completed: the day shows nothing", n)
+	}
+}
+
+// TestOldGangIsNotCompleted: as soon as a task of the attempt may have waited for most of
+// gang_wait_s, or one has ended, the attempt ends at the takeover.
+func TestOldGangIsNotCompleted(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		age   float64
+		ended bool
+		want  bool
+	}{
+		{"young", 5, false, true},
+		{"too old", 35, false, false},
+		{"a task has ended", 5, true, false},
+	} {
+		c := testCore(t)
+		c.set.Cluster.Workers.GangWaitS = 40
+		c.now.Unix = 1e9
+		m := c.pool.Expect("i-1", "small", "a", false, 0)
+		m.Adopted = true
+		if tc.ended {
+			m.Tasks = []wire.TaskReport{{Task: "job-1/1", Attempt: 7, State: wire.TaskEnded, Cause: wire.CauseAlone}}
+		}
+		j := &jobs.Job{Job: &wire.Job{ID: "job-1", Team: "red", Gang: true, Tasks: 2, CPUs: 1, SubmitUnix: 1e9 - tc.age}, Active: true,
+			Placed: map[int]jobs.Place{}, FailedOn: map[string]bool{}}
+		c.book.Open["job-1"] = j
+		c.put(j, 0, jobs.Place{Machine: "i-1", Attempt: 7, State: jobs.Fetching})
+		c.tendGangs()
+		if completed := !j.Start.Ending && j.Start.Attempt == 7; completed != tc.want {
+			t.Errorf("%s: completed %v", tc.name, completed)
+		}
+	}
+}
+
+// TestFaultyGangHoldsNoRoom: a gang that fails everywhere neither has room held for its
+// tries nor runs out of machines that it may try.
+func TestFaultyGangHoldsNoRoom(t *testing.T) {
+	for _, faulty := range []bool{false, true} {
+		c := testCore(t)
+		c.now.Unix = 1e9
+		j := &jobs.Job{Job: &wire.Job{ID: "job-1", Gang: true, Tasks: 2, SubmitUnix: 1e9 - 300},
+			Placed: map[int]jobs.Place{}, FailedOn: map[string]bool{"i-1": true}, Suspect: faulty}
+		u := &allocation.Unit{}
+		if !c.gangUnit(u, j, nil) || u.Overdue == faulty || u.Avoid["i-1"] == faulty {
+			t.Errorf("faulty %v: overdue %v, avoids %v", faulty, u.Overdue, u.Avoid)
+		}
+	}
+}
+
 // TestGangBeyondItsTeamsLimit is refused with 422, and one that just fits is taken.
 func TestGangBeyondItsTeamsLimit(t *testing.T) {
 	c := testCore(t)
--- a/internal/controller/loans.go
+++ b/internal/controller/loans.go
@@ -28,6 +28,7 @@
 	for _, m := range machines {
 		at[m.ID] = m
 	}
+	left := map[string]int{} // tasks that are still to end, by the job that waits
 	for id, k := range c.claimed {
 		j := c.book.Open[k.job]
 		if at[id] == nil || j == nil || j.Cancelled || j.Waiting() <= 0 || c.now.Steady > k.until {
@@ -42,7 +43,11 @@
 				delete(k.tasks, task)
 			}
 		}
-		if len(k.tasks) == 0 {
+		left[k.job] += len(k.tasks)
+	}
+	for id, k := range c.claimed {
+		// A gang needs all of its room at once, other jobs what there is.
+		if left[k.job] == 0 || len(k.tasks) == 0 && !c.book.Open[k.job].Gang {
 			delete(c.claimed, id) // the run that follows gives the room to the job
 			continue
 		}
@@ -92,7 +97,7 @@
 			lent = append(lent, placed{j, task})
 		}
 	}
-	for _, k := range allocation.Return(o.teams, loans, pending, 1+int(limits.ClaimPart*float64(len(machines)))) {
+	for _, k := range allocation.Return(o.teams, machines, loans, pending, 1+int(limits.ClaimPart*float64(len(machines)))) {
 		tasks := map[string]uint64{}
 		save := 0.0
 		for _, l := range k.Loans {
@@ -102,7 +107,7 @@
 		}
 		c.claimed[k.Machine.ID] = &claimed{job: k.Unit.Job, tasks: tasks,
 			until: t + 2*c.pool.Report + time.Duration(save*float64(time.Second)) + limits.ClaimSlack}
-		c.log("debug", "room claimed", "job", k.Unit.Job, "machine", k.Machine.ID, "tasks", len(tasks), "from", k.Loans[0].Team)
+		c.log("debug", "room claimed", "job", k.Unit.Job, "machine", k.Machine.ID, "tasks", len(tasks))
 	}
 }
 
--- a/internal/controller/nights_test.go
+++ b/internal/controller/nights_test.go
@@ -349,6 +349,85 @@
 	}
 }
 
+// TestGuestsReturnRoomForWholeGangs: the guest's tasks fill the cloud again, and a gang
+// within its team's guarantee comes. It starts within seconds, as a whole, long before room
+// would be held for it; the guest's tasks that stop have saved. Without claims it waits.
+func TestGuestsReturnRoomForWholeGangs(t *testing.T) {
+	play := func(cfg worldConfig, seed uint64, sabotage func(*Core)) (w *world, began time.Duration) {
+		cfg.teams = []config.Team{{Name: "red", CPUs: 64, CPUsMax: 200}, {Name: "guest"}}
+		cfg.types = cfg.types[:1]
+		cfg.capacity = map[fleet.Kind]int{{Class: "small", Zone: "a"}: 10}
+		w = newWorld(seed, cfg)
+		w.sabotage = sabotage
+		guest := spec("guest", 30, 4, 90)
+		guest["urgency"], guest["markS"], guest["stowS"] = "low", 10.0, 2.0
+		w.user("job-000001", guest, 90)
+		w.run(70 * time.Second)
+		gang := gangSpec("red", 5, 8, 10)
+		gang["loaners"] = false
+		w.user("job-000002", gang, 10)
+		from := w.now
+		for w.now < from+40*time.Second && began == 0 {
+			w.run(w.now + 250*time.Millisecond)
+			for key, g := range w.gangs {
+				if key.job.id == "job-000002" && g.began {
+					began = w.now - from
+				}
+			}
+		}
+		return w, began
+	}
+	withNodes(t, 3, func(t *testing.T, cfg worldConfig, seed uint64) {
+		w, began := play(cfg, seed, nil)
+		if began == 0 || began > 20*time.Second {
+			t.Errorf("the gang within its team's guarantee began after %v", began)
+		}
+		w.run(1200 * time.Second)
+		w.mustKeepRules(t)
+		w.mustFinish(t)
+	})
+	if _, began := play(standardWorld(), 1, func(c *Core) { c.nextClaims = c.now.Steady + time.Second }); began != 0 && began < 20*time.Second {
+		t.Errorf("without claims it began after %v: the guest leaves too much to show anything", began)
+	}
+}
+
+// TestFaultyJobStaysKnownAcrossTakeovers: each owner that ends passes its classes on, and
+// the next one gives the faulty job no first wave of tasks. An owner that is told nothing
+// must be caught.
+func TestFaultyJobStaysKnownAcrossTakeovers(t *testing.T) {
+	play := func(cfg worldConfig, seed uint64, told bool) (w *world, most int) {
+		w = newWorld(seed, cfg)
+		if !told {
+			w.gossip = func(_ *simNode, m *PeerMessage, _ *PeerAnswer) bool { m.Faulty = nil; return true }
+		}
+		bad := w.user("job-000001", spec("blue", 60, 2, 10), 10)
+		bad.bad = true
+		w.run(40 * time.Second)
+		for range 4 {
+			if n := w.owner(); n != nil {
+				n.crash(2 * time.Second)
+			}
+			before := w.starts
+			w.run(w.now + 12*time.Second)
+			most = max(most, w.starts-before)
+		}
+		w.cancel(bad)
+		w.run(w.now + 100*time.Second)
+		return w, most
+	}
+	withNodes(t, 2, func(t *testing.T, cfg worldConfig, seed uint64) {
+		w, most := play(cfg, seed, true)
+		if most > 12 {
+			t.Errorf("%d tries of a faulty job within seconds of a takeover", most)
+		}
+		w.mustKeepRules(t)
+		w.mustFinish(t)
+	})
+	if _, most := play(standardWorld(), 1, false); most <= 12 {
+		t.Errorf("only %d tries by owners that were told nothing: the day shows little", most)
+	}
+}
+
 // TestFaultyJobsAndFaultyMachinesTogether: several jobs fail everywhere while several
 // machines fail everything, and the owner ends in the midst. Good jobs are done, good
 // machines stay, and the faulty jobs get few tries.
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -105,7 +105,5 @@
 	if err != nil {
 		s.log.Debug("peer not reached", "peer", x.Peer, "error", err)
 	}
-	if x.Msg.Counts == nil {
-		s.send(event{in: PeerReply{Call: x, Answer: answer}})
-	}
+	s.send(event{in: PeerReply{Call: x, Answer: answer}})
 }
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -463,7 +463,7 @@
 						if n.w.gossip != nil && !n.w.gossip(n, &x.Msg, &a) {
 							a = PeerAnswer{}
 						}
-						if alive() && x.Msg.Counts == nil {
+						if alive() {
 							n.step(PeerReply{Call: x, Answer: a})
 						}
 					})
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -110,6 +110,7 @@
 
 	// Failures, for telling a faulty job from a faulty machine.
 	FailedOn  map[string]bool
+	Suspect   bool // an earlier owner took the job for faulty
 	Succeeded bool
 	Backoff   time.Duration
 	NotBefore time.Duration
@@ -139,7 +140,10 @@
 }
 
 // Faulty tells whether the job's own tasks seem to be at fault.
-func (j *Job) Faulty() bool { return len(j.FailedOn) >= limits.BadJobMachines && !j.Succeeded }
+func (j *Job) Faulty() bool {
+	failed := len(j.FailedOn) >= limits.BadJobMachines || j.Suspect && j.DoneCount == 0
+	return failed && !j.Succeeded
+}
 
 // Waiting counts the tasks that neither are done nor have a place.
 func (j *Job) Waiting() int { return j.Tasks - j.DoneCount - len(j.Placed) }
@@ -701,6 +705,27 @@
 	}
 }
 
+// Suspect records that an owner takes jobs for faulty.
+func (b *Book) Suspect(ids []string) {
+	for _, id := range ids {
+		if j := b.Open[id]; j != nil {
+			j.Suspect = true
+		}
+	}
+}
+
+// Suspects lists the jobs that an owner took for faulty, but for those that are known.
+func (b *Book) Suspects(known []string) []string {
+	var ids []string
+	for id, j := range b.Open {
+		if j.Suspect && j.Faulty() && !slices.Contains(known, id) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 func (b *Book) status(id string) wire.JobStatus {
 	if f, ok := b.finals[id]; ok {
 		return wire.JobStatus{ID: id, Status: f.Status, Done: f.Done}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -317,6 +317,9 @@
 	GangMemory = 60 * time.Second
 	// ReserveEvery spaces the looks for such machines.
 	ReserveEvery = 500 * time.Millisecond
+	// GangCompletion, beyond the fetch of its image, is how long placing and launching the
+	// missing tasks of a gang may take: two reports of a slow machine.
+	GangCompletion = 10 * time.Second
 	// GangStopSlack, beyond a report, is for how long a gang that was told to stop and
 	// save is waited for after gang_peer_s and its saving, before it is ended.
 	GangStopSlack = 2 * time.Second
