Bad input: answers at once, beside good work; texts are cut by their length in records

- Reports are validated: a machine without a name, texts that fit no record (its machine could never be written down, and held up what waited beside it), times that are no number: 400.
- Texts of submissions are cut by their length as JSON, in which the state service measures; 200 control characters were 1.2 KiB there.
- A record that the state service refuses no longer takes the submissions of others with it.
- Durations from messages and settings are converted in one place, within bounds.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -244,7 +244,7 @@
 	for _, p := range set.Others {
 		others = append(others, p.Label)
 	}
-	blind := ownership.Blind(seconds(cl.Workers.CancelS), seconds(cl.Workers.LeaseS))
+	blind := ownership.Blind(limits.Seconds(cl.Workers.CancelS), limits.Seconds(cl.Workers.LeaseS))
 	c.own = ownership.New(set.Label, others, random, now.Steady, blind, c.store, c.log)
 	c.book = jobs.New(c.store, c.own.Guard, c.own.Format, c.log)
 	c.records = statestore.NewPack(c.store, keyRoster, c.own.Guard, c.applyRoster)
@@ -256,8 +256,6 @@
 	return c
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 func (c *Core) log(level, msg string, args ...any) {
 	c.out = append(c.out, Log{level, msg, args})
 }
@@ -451,7 +449,7 @@
 
 // age converts a time of day to an age; clocks differ, so it is never negative.
 func (c *Core) age(unix float64) time.Duration {
-	return time.Duration(max(0, c.now.Unix-unix) * float64(time.Second))
+	return limits.Seconds(max(0, c.now.Unix-unix))
 }
 
 func (c *Core) leaveClass(class string) {
--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -219,7 +219,7 @@
 		if j.Start.Attempt == 0 && len(j.Placed) > 0 {
 			c.adoptGang(j)
 		}
-		if j.Start.Stopped > 0 && t > j.Start.Stopped+seconds(c.set.Cluster.Workers.GangPeerS+j.SaveS)+c.pool.Report*5/4+limits.GangStopSlack {
+		if j.Start.Stopped > 0 && t > j.Start.Stopped+limits.Seconds(c.set.Cluster.Workers.GangPeerS+j.SaveS)+c.pool.Report*5/4+limits.GangStopSlack {
 			c.endGang(j, "not stopped in time")
 		}
 		if j.Start.Attempt != 0 && len(j.Placed) == 0 {
@@ -279,8 +279,8 @@
 			fetch = max(fetch, j.ImageGB/t.FetchGBps)
 		}
 	}
-	wait := seconds(c.set.Cluster.Workers.GangWaitS)
-	return c.age(j.SubmitUnix)+seconds(fetch)+limits.GangCompletion < wait
+	wait := limits.Seconds(c.set.Cluster.Workers.GangWaitS)
+	return c.age(j.SubmitUnix)+limits.Seconds(fetch)+limits.GangCompletion < wait
 }
 
 // gangLeaves tells whether a machine's end is so near that a gang with a task on it has
@@ -290,7 +290,7 @@
 		return false
 	}
 	left := m.Recall - c.now.Steady
-	return left <= seconds(j.SaveS+c.set.Cluster.Workers.GangPeerS)+limits.DrainSpare+c.pool.Report*5/4
+	return left <= limits.Seconds(j.SaveS+c.set.Cluster.Workers.GangPeerS)+limits.DrainSpare+c.pool.Report*5/4
 }
 
 // reserve leaves some ordinary machines to gangs that should start within seconds. Their
--- a/internal/controller/loans.go
+++ b/internal/controller/loans.go
@@ -106,7 +106,7 @@
 			save = max(save, p.job.SaveS)
 		}
 		c.claimed[k.Machine.ID] = &claimed{job: k.Unit.Job, tasks: tasks,
-			until: t + 2*c.pool.Report + time.Duration(save*float64(time.Second)) + limits.ClaimSlack}
+			until: t + 2*c.pool.Report + limits.Seconds(save) + limits.ClaimSlack}
 		c.log("debug", "room claimed", "job", k.Unit.Job, "machine", k.Machine.ID, "tasks", len(tasks))
 	}
 }
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -197,7 +197,7 @@
 		return false
 	}
 	left := m.Recall - c.now.Steady
-	need := time.Duration(j.SaveS*float64(time.Second)) + limits.DrainSpare + c.pool.Report*5/4
+	need := limits.Seconds(j.SaveS) + limits.DrainSpare + c.pool.Report*5/4
 	return left <= need
 }
 
@@ -508,7 +508,7 @@
 
 func (c *Core) bootTime(class string) time.Duration {
 	if t := c.fleet.Types[class]; t != nil {
-		return time.Duration(t.BootS*limits.BootFactor*float64(time.Second)) + limits.BootSlack
+		return limits.Seconds(t.BootS*limits.BootFactor) + limits.BootSlack
 	}
 	return limits.BootSlack
 }
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -692,10 +692,10 @@
 // with hindsight costs.
 func (c *Core) idleTime(class string) time.Duration {
 	if c.ops.IdleReturnS > 0 {
-		return time.Duration(c.ops.IdleReturnS * float64(time.Second))
+		return limits.Seconds(c.ops.IdleReturnS)
 	}
 	if t := c.fleet.Types[class]; t != nil {
-		return time.Duration(t.BootS * limits.IdleBoots * float64(time.Second))
+		return limits.Seconds(t.BootS * limits.IdleBoots)
 	}
 	return limits.MinCharge
 }
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -87,7 +87,7 @@
 // against sockets used up by workers that left theirs behind in a cut and came back
 // on new ones, several times over.
 func (s *Server) idle() time.Duration {
-	return max(limits.UserIdle, time.Duration(limits.IdleReports*s.set.Cluster.Workers.ReportS*float64(time.Second)))
+	return max(limits.UserIdle, limits.Seconds(limits.IdleReports*s.set.Cluster.Workers.ReportS))
 }
 
 func (s *Server) now() Now {
@@ -378,8 +378,12 @@
 		return
 	}
 	rep := &wire.Report{}
-	if err := wire.Decode(body, rep); err != nil {
-		s.log.Error("report not understood", "error", err)
+	err := wire.Decode(body, rep)
+	if err == nil {
+		err = rep.Validate()
+	}
+	if err != nil {
+		s.log.Debug("report not understood", "error", err)
 		reply(w, Answer{Status: 400})
 		return
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -95,7 +95,7 @@
 // must never be used by any other life of any node.
 func New(rps, listLagS float64, prefix string, log func(string, string, ...any)) *Manager {
 	// One call is due at once: without the machine types a node takes no jobs.
-	return &Manager{level: 1, log: log, rate: rps * limits.CloudBudget, prefix: prefix, listLag: time.Duration(listLagS * float64(time.Second)),
+	return &Manager{level: 1, log: log, rate: rps * limits.CloudBudget, prefix: prefix, listLag: limits.Seconds(listLagS),
 		calls: map[uint64]func(int, []byte){}, Types: map[string]*wire.MachineType{}, Rentals: map[string]*Rental{},
 		backoff: map[Kind]time.Duration{}, hiring: map[Kind]int{}, unsure: map[string]*hire{}, gone: map[string]time.Duration{}}
 }
@@ -356,7 +356,7 @@
 	f.listAt = f.now + limits.ListEvery
 	f.Listed = true
 	for id, m := range f.pages {
-		age := time.Duration(m.AgeS * float64(time.Second))
+		age := limits.Seconds(m.AgeS)
 		r := f.Know(id, Kind{m.Type, m.Zone, m.Spot}, f.now-age)
 		if r == nil {
 			continue
@@ -392,7 +392,7 @@
 		if t == nil || r.Up {
 			continue
 		}
-		boot := time.Duration(t.BootS * limits.BootFactor * float64(time.Second))
+		boot := limits.Seconds(t.BootS * limits.BootFactor)
 		known := r.Known
 		if r.WasUp || r.Listed == wire.MachineRunning {
 			// It came up, so it is this node that it can't reach. Guards against a new
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -272,3 +272,30 @@
 		t.Errorf("a question without the state service: %+v", asked)
 	}
 }
+
+// TestRefusedRecordStandsAlone guards against one record that the state service refuses for
+// its size, and with it the submissions of all who share its transaction.
+func TestRefusedRecordStandsAlone(t *testing.T) {
+	b := newBench(t)
+	b.tick()
+	got := map[string]int{}
+	for _, id := range []string{"job-1", "job-2", "job-3"} {
+		b.book.Submit(b.now, &wire.Job{ID: id, Tasks: 1, Types: []string{"c"}}, func(a Answer) { got[id] = a.Status })
+	}
+	for range 5 {
+		b.txns = nil
+		b.tick()
+		for _, call := range b.txns {
+			status := 200
+			for _, op := range call.Body.(wire.Txn).Then {
+				if op.Key == keyOpen+"job-2" {
+					status = 400
+				}
+			}
+			b.store.Reply(b.now, call.ID, status, b.pack(wire.TxnReply{Revision: 9}))
+		}
+	}
+	if got["job-1"] != 201 || got["job-3"] != 201 || got["job-2"] != 503 {
+		t.Errorf("answers %v", got)
+	}
+}
--- a/internal/jobs/users.go
+++ b/internal/jobs/users.go
@@ -142,6 +142,12 @@
 					b.again(s)
 				}
 			}
+		case r.Status == statestore.BadRequest && len(group) > 1:
+			// Guards against one record that the state service refuses for its size or
+			// form, and with it those of all who share its transaction.
+			for _, s := range group {
+				b.again(s)
+			}
 		default:
 			// Not executed, or perhaps executed later: the user asks again, and
 			// the guards make one job of it.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -19,6 +19,9 @@
 	// MaxTextBytes bounds free text that a job record keeps, so that the record
 	// fits the smallest value size of the state service.
 	MaxTextBytes = 200
+	// MaxSeconds bounds durations that are taken from messages, about 30 years: within it
+	// they fit a time.Duration.
+	MaxSeconds = 1e9
 	// MaxTypesListed bounds the machine types one job may list.
 	MaxTypesListed = 1000
 )
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -38,10 +38,11 @@
 // Status of an answer, beyond the HTTP codes: NoAnswer means the request may
 // have been executed, or may be executed later.
 const (
-	NoAnswer = 0
-	OK       = 200
-	NotFound = 404
-	Conflict = 409
+	NoAnswer   = 0
+	OK         = 200
+	BadRequest = 400
+	NotFound   = 404
+	Conflict   = 409
 )
 
 // Call is an HTTP request for the edge to make.
@@ -307,7 +308,7 @@
 			n += float64(r.writes)
 		}
 	}
-	return time.Duration(max(0, n/s.writes.rate) * float64(time.Second))
+	return limits.Seconds(max(0, n/s.writes.rate))
 }
 
 // Spare tells whether so many changes of the least priority could go now.
--- /dev/null
+++ b/internal/wire/fuzz_test.go
@@ -0,0 +1,74 @@
+package wire
+
+import (
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// addSeeds adds well-formed messages of every kind, and broken ones, to a fuzz test.
+func addSeeds(f *testing.F) {
+	recall := 12.5
+	for _, message := range []any{
+		valid(),
+		Report{Machine: "i-000231", Address: "10.1.0.232:9000", Type: "g8", Zone: "a", Session: 1, Seq: 88, Token: 41, RecallS: &recall,
+			Tasks: []TaskReport{{Task: "job-000412/3", Attempt: 2, State: TaskGathering}, {Task: "job-000398/0", Attempt: 1, State: TaskEnded, Cause: CausePeers}}},
+		MachineTypes{Types: []MachineType{{Name: "g8", CPUs: 96, Zones: []string{"a", "b"}}}},
+		MachineList{Machines: []ListedMachine{{ID: "i-1", Status: MachineBooting, AgeS: 2}}},
+		Rows{Rows: []Row{{Key: "u/o/job-1", Value: msgpack.RawMessage{0x80}, Version: 3}}, Revision: 9},
+		Watched{Revision: 4, Events: []Event{{Put: "u/c/job-1", Value: msgpack.RawMessage{0xc3}}}},
+		TxnReply{Revision: 432, Failed: []string{"a/b"}},
+	} {
+		body, err := Encode(message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+		f.Add(body[:len(body)/2])
+	}
+	f.Add([]byte("\x87\xa3hut\xa3i-1"))
+	f.Add([]byte{})
+	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0xc1})
+}
+
+// FuzzParseSubmission: whatever users send, a submission is refused or keeps the bounds that
+// records and amounts rely on.
+func FuzzParseSubmission(f *testing.F) {
+	addSeeds(f)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		s, err := ParseSubmission(body)
+		if err != nil {
+			return
+		}
+		if !ValidJobID(s.ID) || s.Tasks < 1 || s.Team == "" || s.CPUs < 0 || s.MemoryGB < 0 {
+			t.Fatalf("accepted: %+v", s)
+		}
+		record, err := Encode(s.Job)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var again Job
+		if err := Decode(record, &again); err != nil || again.ID != s.ID || again.Gang != s.Gang {
+			t.Fatalf("the record reads as %+v, %v", again, err)
+		}
+	})
+}
+
+// FuzzDecode: hostile bytes are an error or a message, for every kind of message.
+func FuzzDecode(f *testing.F) {
+	addSeeds(f)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		for _, message := range []any{&Report{}, &MachineTypes{}, &MachineList{}, &Machines{}, &Rows{}, &Watched{}, &TxnReply{}, &LeaseReply{}, &Job{}} {
+			if Decode(body, message) != nil {
+				continue
+			}
+			if _, err := Encode(message); err != nil {
+				t.Errorf("%T is decoded, but not encoded again: %v", message, err)
+			}
+			if r, ok := message.(*Report); ok && r.Validate() == nil && r.Machine == "" {
+				t.Errorf("a report of no machine is valid: %+v", r)
+			}
+		}
+	})
+}
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"regexp"
+	"strings"
+	"unicode/utf8"
 
 	"umberpaddle/internal/limits"
 )
@@ -115,14 +117,34 @@
 	return s, nil
 }
 
-// clip shortens text that is only shown or compared, so that records stay small.
+// clip shortens text that is only shown or compared, so that records stay small in the JSON
+// form in which the state service measures them. It guards against a text of control
+// characters that was six times as long there: the record was refused, and with it those
+// of other users in the same transaction.
 func clip(s string) string {
-	if len(s) > limits.MaxTextBytes {
-		return s[:limits.MaxTextBytes]
+	size := 0
+	for i, r := range s {
+		if size += escapedSize(string(r)); size > limits.MaxTextBytes {
+			return s[:i]
+		}
 	}
 	return s
 }
 
+// escapedSize is the length of a text in JSON, where bytes that are not UTF-8, control
+// characters and a few others are written as escapes.
+func escapedSize(s string) int {
+	size := 0
+	for _, r := range s {
+		if r < 0x20 || r == utf8.RuneError || strings.ContainsRune("\"\\<>&\u2028\u2029\u007f", r) {
+			size += len(`\u0000`)
+		} else {
+			size += utf8.RuneLen(r)
+		}
+	}
+	return size
+}
+
 type parser struct {
 	m   map[string]any
 	err error
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,9 +4,13 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"math"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"umberpaddle/internal/limits"
 )
 
 // Task states and causes of a task's end, as workers report them.
@@ -81,6 +85,23 @@
 	Tasks   []TaskReport `msgpack:"sheets"`
 }
 
+// Validate checks what decoding does not. It guards against reports whose texts would fit
+// no record: their machines could never be written down, nor what waits beside them.
+func (r *Report) Validate() error {
+	if r.Machine == "" {
+		return errors.New("hut: missing")
+	}
+	for name, text := range map[string]string{"hut": r.Machine, "address": r.Address, "build": r.Type, "valley": r.Zone} {
+		if escapedSize(text) > limits.MaxTextBytes {
+			return fmt.Errorf("%s: longer than %d bytes", name, limits.MaxTextBytes)
+		}
+	}
+	if s := r.RecallS; s != nil && !(math.Abs(*s) <= limits.MaxSeconds) {
+		return errors.New("recallS: want a finite number of seconds")
+	}
+	return nil
+}
+
 // Command tells a worker what to do.
 type Command struct {
 	Verb    string  `msgpack:"verb"`
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"math"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"umberpaddle/internal/limits"
 )
 
 func valid() map[string]any {
@@ -135,17 +138,53 @@
 	}
 }
 
-func FuzzDecode(f *testing.F) {
-	f.Add([]byte("\x87\xa3hut\xa3i-1"))
-	f.Fuzz(func(t *testing.T, b []byte) {
-		var r Report
-		if err := Decode(b, &r); err == nil {
-			if _, err := Encode(&r); err != nil {
-				t.Error(err)
-			}
+// TestTextsFitRecordsAsJSON: a text is cut by its length in the JSON form in which the state
+// service measures values.
+func TestTextsFitRecordsAsJSON(t *testing.T) {
+	for name, text := range map[string]string{
+		"plain": strings.Repeat("x", 1000), "control characters": strings.Repeat("\x01", 1000), "quotes": strings.Repeat(`"`, 1000),
+		"no UTF-8": strings.Repeat("\xff", 1000), "wide": strings.Repeat("ž", 1000),
+	} {
+		m := valid()
+		m["docket"] = text
+		s, err := parse(t, m)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		b, err := json.Marshal(s.Class)
+		if err != nil {
+			t.Fatal(err)
 		}
-		if s, err := ParseSubmission(b); err == nil && (s.Tasks < 1 || !ValidJobID(s.ID)) {
-			t.Errorf("accepted %+v", s)
+		if len(b)-2 > limits.MaxTextBytes || len(s.Class) < limits.MaxTextBytes/6-1 {
+			t.Errorf("%s: cut to %d bytes, %d in JSON", name, len(s.Class), len(b)-2)
 		}
-	})
+	}
+}
+
+func TestReportIsValidated(t *testing.T) {
+	good := func() *Report { return &Report{Machine: "i-1", Address: "10.1.0.1:9000", Type: "g8", Zone: "a"} }
+	if err := good().Validate(); err != nil {
+		t.Error(err)
+	}
+	long, nan, inf, soon := strings.Repeat("x", 300), math.NaN(), math.Inf(1), -0.5
+	for name, spoil := range map[string]func(r *Report){
+		"no machine":   func(r *Report) { r.Machine = "" },
+		"long machine": func(r *Report) { r.Machine = long },
+		"long address": func(r *Report) { r.Address = long },
+		"long type":    func(r *Report) { r.Type = long },
+		"long zone":    func(r *Report) { r.Zone = long },
+		"recall NaN":   func(r *Report) { r.RecallS = &nan },
+		"recall inf":   func(r *Report) { r.RecallS = &inf },
+	} {
+		r := good()
+		spoil(r)
+		if r.Validate() == nil {
+			t.Errorf("%s: valid", name)
+		}
+	}
+	r := good()
+	r.RecallS = &soon
+	if err := r.Validate(); err != nil {
+		t.Errorf("a notice whose time has just passed: %v", err)
+	}
 }
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -67,8 +67,8 @@
 // New makes an empty pool.
 func New(leaseS, reportS float64) *Pool {
 	return &Pool{
-		Lease:    time.Duration(leaseS * float64(time.Second)),
-		Report:   time.Duration(reportS * float64(time.Second)),
+		Lease:    limits.Seconds(leaseS),
+		Report:   limits.Seconds(reportS),
 		Machines: map[string]*Machine{},
 	}
 }
@@ -208,7 +208,7 @@
 // recall follows the cloud's notices.
 func (m *Machine) recall(now time.Duration, r *wire.Report) {
 	if r.RecallS != nil {
-		at := now + time.Duration(*r.RecallS*float64(time.Second))
+		at := now + limits.Seconds(*r.RecallS)
 		if m.Recall == 0 || at < m.Recall {
 			m.Recall = at
 		}
