--- a/internal/controller/world_test.go
+++ b/internal/controller/simulation_test.go
@@ -13,16 +13,16 @@
 	"umberpaddle/internal/wire"
 )
 
-// world is a simulated deployment of stand-ins around real cores: a state
+// simulation is a simulated deployment of stand-ins around real cores: a state
 // service, a cloud, workers and users, with messages that are lost, late or
 // repeated. It checks the rules of the protocol at every event.
-type world struct {
+type simulation struct {
 	rng   *rand.Rand
 	now   time.Duration
 	queue events
 	seq   int
 
-	cfg      worldConfig
+	cfg      simConfig
 	nodes    []*simNode
 	store    *simStore
 	cloud    *simCloud
@@ -54,7 +54,7 @@
 	sabotage func(*Core) // breaks a core on purpose, to see the rules catch it
 }
 
-type worldConfig struct {
+type simConfig struct {
 	nodes                 int
 	teams                 []config.Team
 	types                 []wire.MachineType
@@ -87,8 +87,8 @@
 	return x
 }
 
-func newWorld(seed uint64, cfg worldConfig) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, machines: map[string]*simMachine{}, jobs: map[string]*simJob{}, gangs: map[gangKey]*simGang{},
+func newSimulation(seed uint64, cfg simConfig) *simulation {
+	w := &simulation{rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, machines: map[string]*simMachine{}, jobs: map[string]*simJob{}, gangs: map[gangKey]*simGang{},
 		cut: map[[2]string]bool{}, held: map[[2]string][]func(){}, trace: func(string, ...any) {}}
 	if w.cfg.gangPeer == 0 {
 		w.cfg.gangWait, w.cfg.gangPeer = 30, 8
@@ -108,12 +108,12 @@
 	return w
 }
 
-func (w *world) after(d time.Duration, f func()) {
+func (w *simulation) schedule(d time.Duration, f func()) {
 	w.seq++
 	heap.Push(&w.queue, ev{w.now + d, w.seq, f})
 }
 
-func (w *world) run(until time.Duration) {
+func (w *simulation) run(until time.Duration) {
 	for len(w.queue) > 0 && w.queue[0].at <= until && len(w.broken) == 0 {
 		e := heap.Pop(&w.queue).(ev)
 		w.now = e.at
@@ -122,18 +122,18 @@
 	w.now = until
 }
 
-func (w *world) break_(rule, format string, args ...any) {
+func (w *simulation) reportBroken(rule, format string, args ...any) {
 	w.broken = append(w.broken, fmt.Sprintf("%s at %.1f s: %s", rule, w.now.Seconds(), fmt.Sprintf(format, args...)))
 }
 
-func (w *world) between(a, b float64) time.Duration {
+func (w *simulation) between(a, b float64) time.Duration {
 	return time.Duration((a + (b-a)*w.rng.Float64()) * float64(time.Second))
 }
 
-func (w *world) chance(p float64) bool { return w.rng.Float64() < p }
+func (w *simulation) chance(p float64) bool { return w.rng.Float64() < p }
 
 // carry delivers a message over a link: soon, late, or never.
-func (w *world) carry(from, to string, f func()) {
+func (w *simulation) carry(from, to string, f func()) {
 	if w.chance(w.lost) {
 		return
 	}
@@ -141,7 +141,7 @@
 	if w.chance(w.slow) {
 		d = w.between(0.5, 12)
 	}
-	w.after(d, func() {
+	w.schedule(d, func() {
 		link := [2]string{from, to}
 		if w.cut[link] {
 			w.held[link] = append(w.held[link], f)
@@ -151,12 +151,12 @@
 	})
 }
 
-func (w *world) setCut(a, b string, on bool) {
+func (w *simulation) setCut(a, b string, on bool) {
 	w.setOneWay(a, b, on)
 	w.setOneWay(b, a, on)
 }
 
-func (w *world) setOneWay(from, to string, on bool) {
+func (w *simulation) setOneWay(from, to string, on bool) {
 	l := [2]string{from, to}
 	w.cut[l] = on
 	if !on {
@@ -168,14 +168,14 @@
 }
 
 // deafen keeps answers and orders from a machine whose reports arrive.
-func (w *world) deafen(id string, on bool) {
+func (w *simulation) deafen(id string, on bool) {
 	for _, n := range w.nodes {
 		w.setOneWay(n.label, id, on)
 	}
 }
 
 // isolate takes the state service and the peers from a node, but not its workers.
-func (w *world) isolate(n *simNode, on bool) {
+func (w *simulation) isolate(n *simNode, on bool) {
 	w.setCut(n.label, "state", on)
 	for _, p := range w.nodes {
 		if p != n {
@@ -185,7 +185,7 @@
 }
 
 // call makes a request with a time limit: done gets status 0 without an answer.
-func (w *world) call(from, to string, timeout time.Duration, serve func(answer func(int, []byte)), done func(int, []byte)) {
+func (w *simulation) call(from, to string, timeout time.Duration, serve func(answer func(int, []byte)), done func(int, []byte)) {
 	over := false
 	finish := func(status int, body []byte) {
 		if !over {
@@ -193,7 +193,7 @@
 			done(status, body)
 		}
 	}
-	w.after(timeout, func() { finish(0, nil) })
+	w.schedule(timeout, func() { finish(0, nil) })
 	w.carry(from, to, func() {
 		serve(func(status int, body []byte) {
 			w.carry(to, from, func() { finish(status, body) })
@@ -210,7 +210,7 @@
 }
 
 type simNode struct {
-	w     *world
+	w     *simulation
 	idx   int
 	label string
 	core  *Core
@@ -259,14 +259,14 @@
 	}
 	n.core = NewCore(set, &config.Operator{}, n.clock(), n.w.rng.Uint64()>>1|1)
 	if n.old {
-		n.core.own.Reads = 0
+		n.core.ownership.SupportedFormat = 0
 	}
 	life := n.life
 	var tick func()
 	tick = func() {
 		if n.life == life && n.core != nil {
 			n.step(Tick{})
-			n.w.after(limits.TickEvery, tick)
+			n.w.schedule(limits.TickInterval, tick)
 		}
 	}
 	tick()
@@ -280,7 +280,7 @@
 	n.core = nil
 	n.life++
 	n.frozen, n.caught, n.queued = 0, false, nil
-	n.w.after(back, n.boot)
+	n.w.schedule(back, n.boot)
 }
 
 // freeze lets the process stand still while its clocks run on. With the next input
@@ -292,7 +292,7 @@
 	n.w.trace("%s stands still for %v", n.label, d)
 	n.frozen, n.caught = n.w.now+d, true
 	life := n.life
-	n.w.after(d, func() {
+	n.w.schedule(d, func() {
 		queued := n.queued
 		n.queued = nil
 		if n.life != life {
@@ -337,7 +337,7 @@
 	defer func() {
 		if n.steps++; n.steps%25 == 0 && n.core != nil {
 			if err := n.core.checkSums(); err != nil {
-				n.w.break_("sums", "%s: %v", n.label, err)
+				n.w.reportBroken("sums", "%s: %v", n.label, err)
 			}
 		}
 	}()
@@ -362,7 +362,7 @@
 
 // fromMemory answers a question without asking the state service.
 func (n *simNode) fromMemory(q Query) Answer {
-	j := n.core.book.Open[q.ID]
+	j := n.core.jobs.Open[q.ID]
 	switch {
 	case j == nil:
 		return Answer{Ref: q.Ref, Status: 404}
@@ -398,7 +398,7 @@
 			body := pack(x.Body)
 			n.w.call(n.label, "state", x.Timeout,
 				func(answer func(int, []byte)) {
-					n.w.after(n.w.between(0, n.w.store.slow), func() { n.w.store.serve(n.idx, x.Method, x.Path, body, answer) })
+					n.w.schedule(n.w.between(0, n.w.store.slow), func() { n.w.store.serve(n.idx, x.Method, x.Path, body, answer) })
 				},
 				func(status int, b []byte) {
 					if alive() {
@@ -414,34 +414,34 @@
 						n.step(CloudReply{x.ID, status, b})
 					}
 				})
-		case OrderCall:
+		case DirectCall:
 			body := pack(x.Body)
 			m := n.w.machines[x.Address]
 			if late := n.clock().Steady >= x.Until; late || m == nil || m.gone && n.w.chance(0.5) {
-				n.w.after(time.Millisecond, func() {
+				n.w.schedule(time.Millisecond, func() {
 					if alive() {
-						n.step(OrderReply{ID: x.ID, Unsent: true})
+						n.step(DirectReply{ID: x.ID, Unsent: true})
 					}
 				})
 				continue
 			}
 			serve := func(answer func(int, []byte)) { m.when(func() { m.orders(body, answer) }) }
 			if n.w.chance(n.w.stray) { // an order that is held up for long
-				n.w.after(n.w.between(0, 4*n.w.cfg.lease), func() { serve(func(int, []byte) {}) })
-				n.w.after(limits.OrderTimeout, func() {
+				n.w.schedule(n.w.between(0, 4*n.w.cfg.lease), func() { serve(func(int, []byte) {}) })
+				n.w.schedule(limits.DirectTimeout, func() {
 					if alive() {
-						n.step(OrderReply{ID: x.ID})
+						n.step(DirectReply{ID: x.ID})
 					}
 				})
 				continue
 			}
-			n.w.call(n.label, m.id, limits.OrderTimeout, serve, func(status int, b []byte) {
+			n.w.call(n.label, m.id, limits.DirectTimeout, serve, func(status int, b []byte) {
 				if alive() {
-					n.step(OrderReply{ID: x.ID, Status: status, Body: b})
+					n.step(DirectReply{ID: x.ID, Status: status, Body: b})
 				}
 			})
 			if n.w.chance(n.w.repeats) { // an order that is carried out once more
-				n.w.after(n.w.between(0, 3*n.w.cfg.lease), func() { serve(func(int, []byte) {}) })
+				n.w.schedule(n.w.between(0, 3*n.w.cfg.lease), func() { serve(func(int, []byte) {}) })
 			}
 		case PeerCall:
 			if n.w.gossip != nil && !n.w.gossip(n, &x.Msg, nil) {
--- a/internal/controller/world_users_test.go
+++ b/internal/controller/simulation_users_test.go
@@ -32,7 +32,7 @@
 	fits      time.Duration // when it last could not have begun, or had something running
 }
 
-func (w *world) user(id string, spec map[string]any, run float64) *simJob {
+func (w *simulation) user(id string, spec map[string]any, run float64) *simJob {
 	spec["id"] = id
 	fill(spec)
 	j := &simJob{id: id, spec: spec, team: spec["crew"].(string), cores: spec["cores"].(float64), tasks: int(spec["sheets"].(int)), run: run, done: map[int]bool{}, gang: spec["form"] == "gang"}
@@ -56,12 +56,12 @@
 				if told == j.told {
 					w.judge(j, status, b)
 				}
-				w.after(w.between(4, 6), func() { w.poll(j) })
+				w.schedule(w.between(4, 6), func() { w.poll(j) })
 			case 400, 422, 404:
-				w.break_("forgotten", "submission of %s got %d", id, status)
+				w.reportBroken("forgotten", "submission of %s got %d", id, status)
 			default:
 				if w.now-began < 150*time.Second {
-					w.after(w.between(1, 2), submit)
+					w.schedule(w.between(1, 2), submit)
 				}
 			}
 		})
@@ -83,7 +83,7 @@
 	}
 }
 
-func (w *world) poll(j *simJob) {
+func (w *simulation) poll(j *simJob) {
 	told := j.told
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	w.call("users", n.label, 2*time.Second, func(answer func(int, []byte)) {
@@ -96,18 +96,18 @@
 		// The users' addition to the rules: once all is over, every job's
 		// questions are answered again.
 		if since := w.now - max(w.calm, j.lastPoll); w.calm > 0 && j.accepted && since > 75*time.Second {
-			w.break_("forgotten", "no question about %s was answered for %v", j.id, since)
+			w.reportBroken("forgotten", "no question about %s was answered for %v", j.id, since)
 		}
-		w.after(w.between(4, 6), func() { w.poll(j) })
+		w.schedule(w.between(4, 6), func() { w.poll(j) })
 	})
 }
 
-func (w *world) cancel(j *simJob) {
+func (w *simulation) cancel(j *simJob) {
 	w.cancelAt(j, w.nodes[w.rng.IntN(len(w.nodes))], func() { w.cancel(j) })
 }
 
 // cancelAt cancels a job at a node; without an answer, again does so once more.
-func (w *world) cancelAt(j *simJob, n *simNode, again func()) {
+func (w *simulation) cancelAt(j *simJob, n *simNode, again func()) {
 	j.cancelAsk = true
 	accepted := j.accepted
 	w.call("users", n.label, 5*time.Second, func(answer func(int, []byte)) {
@@ -118,53 +118,53 @@
 			return
 		}
 		if status == 404 && accepted {
-			w.break_("forgotten", "cancellation of %s got 404", j.id)
+			w.reportBroken("forgotten", "cancellation of %s got 404", j.id)
 		}
-		w.after(w.between(1, 2), again)
+		w.schedule(w.between(1, 2), again)
 	})
 }
 
 // stranger asks about a job that nobody submitted.
-func (w *world) stranger() {
+func (w *simulation) stranger() {
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	id := fmt.Sprintf("job-9%05d", w.rng.IntN(100000))
 	w.call("users", n.label, 2*time.Second, func(answer func(int, []byte)) {
 		n.ask(func(ref uint64) any { return Query{ref, id} }, answer)
 	}, func(status int, b []byte) {
 		if status == 200 {
-			w.break_("invented", "%s", id)
+			w.reportBroken("invented", "%s", id)
 		}
 	})
 }
 
-func (w *world) judge(j *simJob, status int, b []byte) {
+func (w *simulation) judge(j *simJob, status int, b []byte) {
 	if status == 404 {
-		w.break_("forgotten", "%s got 404", j.id)
+		w.reportBroken("forgotten", "%s got 404", j.id)
 		return
 	}
 	var s wire.JobStatus
 	if err := wire.Decode(b, &s); err != nil || s.ID != j.id {
-		w.break_("answer", "%s: %v %+v", j.id, err, s)
+		w.reportBroken("answer", "%s: %v %+v", j.id, err, s)
 		return
 	}
 	j.lastPoll = w.now
 	was := j.told
 	if j.told != "" && s.Status != j.told {
-		w.break_("went_back", "%s was %s, is %s", j.id, j.told, s.Status)
+		w.reportBroken("went_back", "%s was %s, is %s", j.id, j.told, s.Status)
 	}
 	switch s.Status {
 	case wire.StatusDone:
 		if j.doneCount < j.tasks {
-			w.break_("not_done", "%s: %d of %d", j.id, j.doneCount, j.tasks)
+			w.reportBroken("not_done", "%s: %d of %d", j.id, j.doneCount, j.tasks)
 		}
 		j.told = s.Status
 	case wire.StatusCancelled:
 		if !j.cancelAsk {
-			w.break_("went_back", "%s cancelled by nobody", j.id)
+			w.reportBroken("went_back", "%s cancelled by nobody", j.id)
 		}
 		if j.told == "" {
 			j.cancelled = w.now
-			w.after(time.Duration(w.cfg.cancel*float64(time.Second))+time.Millisecond, func() { w.checkCancelled(j) })
+			w.schedule(time.Duration(w.cfg.cancel*float64(time.Second))+time.Millisecond, func() { w.checkCancelled(j) })
 		}
 		j.told = s.Status
 	}
@@ -175,13 +175,13 @@
 
 // look lets users ask at all nodes within milliseconds after they were told something
 // of a job, and repeat the submission and the cancellation.
-func (w *world) look(j *simJob) {
+func (w *simulation) look(j *simJob) {
 	if !w.looks {
 		return
 	}
 	for _, n := range w.nodes {
 		for _, repeat := range []bool{false, true, false} {
-			w.after(w.between(0, 0.01), func() {
+			w.schedule(w.between(0, 0.01), func() {
 				told := j.told
 				w.call("users", n.label, 2*time.Second, func(answer func(int, []byte)) {
 					n.ask(func(ref uint64) any {
@@ -193,7 +193,7 @@
 				}, func(status int, b []byte) {
 					switch {
 					case status == 400 || status == 422 || status == 201:
-						w.break_("forgotten", "repeated submission of %s got %d", j.id, status)
+						w.reportBroken("forgotten", "repeated submission of %s got %d", j.id, status)
 					case (status == 200 || status == 404) && told == j.told:
 						w.judge(j, status, b)
 					}
@@ -208,7 +208,7 @@
 
 // odd sends what users should not: jobs that fit no machine or lack a field, and
 // cancellations of what is over or unknown.
-func (w *world) odd() {
+func (w *simulation) odd() {
 	id := fmt.Sprintf("job-8%05d", w.rng.IntN(100000))
 	spec := map[string]any{"id": id, "docket": "x", "crew": "blue", "form": "batch", "urgency": "standard", "sheets": 2,
 		"cores": 1.0, "accelerators": 0.0, "ramGb": 1.0, "loaners": true, "reckonS": 5.0}
@@ -234,7 +234,7 @@
 		n.ask(func(ref uint64) any { return Submit{ref, body} }, answer)
 	}, func(status int, _ []byte) {
 		if status != want && status != 503 && status != 429 && status != 0 {
-			w.break_("odd", "%v got %d", spec, status)
+			w.reportBroken("odd", "%v got %d", spec, status)
 		}
 	})
 	for _, id := range sortedKeys(w.jobs) {
@@ -246,7 +246,7 @@
 }
 
 // audit looks once a second at what no single event shows.
-func (w *world) audit() {
+func (w *simulation) audit() {
 	for _, id := range sortedKeys(w.jobs) {
 		j := w.jobs[id]
 		if j.told == wire.StatusCancelled && w.now > j.cancelled+time.Duration(w.cfg.cancel*float64(time.Second)) {
@@ -257,15 +257,15 @@
 			continue
 		}
 		if since := max(w.calm, j.fits); w.now-since > 90*time.Second {
-			w.break_("left_waiting", "%s, of whose %d tasks %d are done", j.id, j.tasks, j.doneCount)
+			w.reportBroken("left_waiting", "%s, of whose %d tasks %d are done", j.id, j.tasks, j.doneCount)
 		}
 	}
-	w.after(time.Second, w.audit)
+	w.schedule(time.Second, w.audit)
 }
 
 // couldBegin tells whether a job has nothing on any machine although one that it
 // allows has room for a task and its team is under its limit.
-func (w *world) couldBegin(j *simJob) bool {
+func (w *simulation) couldBegin(j *simJob) bool {
 	need := 1
 	if j.gang {
 		need = j.tasks
@@ -311,7 +311,7 @@
 }
 
 // mustServe checks that everybody's jobs began within four minutes of their acceptance.
-func (w *world) mustServe(t *testing.T) {
+func (w *simulation) mustServe(t *testing.T) {
 	t.Helper()
 	for _, id := range sortedKeys(w.jobs) {
 		if j := w.jobs[id]; j.accepted && !j.cancelAsk && (j.began == 0 || j.began-j.asked > 4*time.Minute) {
@@ -321,10 +321,10 @@
 }
 
 // deliverKept brings copies of old reports to every node as a new owner begins.
-func (w *world) deliverKept() {
+func (w *simulation) deliverKept() {
 	for _, f := range w.kept {
 		for _, n := range w.nodes {
-			w.after(w.between(0, 0.2), func() { f(n) })
+			w.schedule(w.between(0, 0.2), func() { f(n) })
 		}
 	}
 	w.kept = nil
@@ -334,7 +334,7 @@
 	return t.state == wire.TaskRunning || t.state == wire.TaskSaving || t.state == wire.TaskGathering
 }
 
-func (w *world) checkCancelled(j *simJob) {
+func (w *simulation) checkCancelled(j *simJob) {
 	for _, id := range sortedKeys(w.machines) {
 		m := w.machines[id]
 		if m.gone || (m.hung && w.now-m.renewed > m.lease()) {
@@ -342,24 +342,24 @@
 		}
 		for tid, t := range m.tasks {
 			if strings.HasPrefix(tid, j.id+"/") && onMachine(t) {
-				w.break_("ran_cancelled", "%s on %s", tid, m.id)
+				w.reportBroken("ran_cancelled", "%s on %s", tid, m.id)
 			}
 		}
 	}
 }
 
-func (w *world) checkStart(m *simMachine, t *simTask, j *simJob) {
+func (w *simulation) checkStart(m *simMachine, t *simTask, j *simJob) {
 	if j.told == wire.StatusCancelled && w.now > j.cancelled+time.Duration(w.cfg.cancel*float64(time.Second)) {
-		w.break_("ran_cancelled", "%s starts on %s", t.id, m.id)
+		w.reportBroken("ran_cancelled", "%s starts on %s", t.id, m.id)
 	}
 	if types, ok := j.spec["builds"].([]string); ok && !contains(types, m.kind.Class) {
-		w.break_("wrong_place", "%s on type %s", t.id, m.kind.Class)
+		w.reportBroken("wrong_place", "%s on type %s", t.id, m.kind.Class)
 	}
 	if z, ok := j.spec["valley"].(string); ok && z != m.kind.Zone {
-		w.break_("wrong_place", "%s in zone %s", t.id, m.kind.Zone)
+		w.reportBroken("wrong_place", "%s in zone %s", t.id, m.kind.Zone)
 	}
 	if m.kind.Spot && j.spec["loaners"] != true {
-		w.break_("wrong_place", "%s on spot", t.id)
+		w.reportBroken("wrong_place", "%s on spot", t.id)
 	}
 	cpus := 0.0
 	zones := map[string]int{}
@@ -372,7 +372,7 @@
 				continue
 			}
 			if tid == t.id && x != m {
-				w.break_("ran_twice", "%s on %s and %s", tid, x.id, m.id)
+				w.reportBroken("ran_twice", "%s on %s and %s", tid, x.id, m.id)
 			}
 			if xt.job.team == j.team {
 				cpus += xt.job.cores
@@ -384,13 +384,13 @@
 	}
 	for _, ct := range w.cfg.teams {
 		if ct.Name == j.team && ct.CPUsMax > 0 && cpus > ct.CPUsMax+1e-6 {
-			w.break_("quota", "%s uses %.1f of %.1f", j.team, cpus, ct.CPUsMax)
+			w.reportBroken("quota", "%s uses %.1f of %.1f", j.team, cpus, ct.CPUsMax)
 		}
 	}
 	if j.spec["oneZone"] == true && len(zones) > 1 {
-		w.break_("wrong_place", "%s in zones %v", j.id, zones)
+		w.reportBroken("wrong_place", "%s in zones %v", j.id, zones)
 	}
 	if j.spec["scatter"] == true && zones[m.kind.Zone] > (j.tasks+1)/2 {
-		w.break_("wrong_place", "%s in zones %v of %d", j.id, zones, j.tasks)
+		w.reportBroken("wrong_place", "%s in zones %v of %d", j.id, zones, j.tasks)
 	}
 }
--- a/internal/controller/world_machines_test.go
+++ b/internal/controller/simulation_workers_test.go
@@ -12,7 +12,7 @@
 )
 
 type simCloud struct {
-	w      *world
+	w      *simulation
 	hires  map[string][]string
 	left   map[fleet.Kind]int
 	count  int
@@ -35,7 +35,7 @@
 	case u.Path == "/hosts" && method == "POST":
 		var h wire.Hire
 		if wire.Decode(body, &h) != nil || h.Count < 1 || h.Count > 50 {
-			c.w.break_("limits", "malformed rental")
+			c.w.reportBroken("limits", "malformed rental")
 			return 400, nil
 		}
 		if ids, ok := c.hires[h.Request]; ok {
@@ -55,7 +55,7 @@
 	case u.Path == "/hosts/delete":
 		var m wire.Machines
 		if wire.Decode(body, &m) != nil || len(m.Machines) > 100 {
-			c.w.break_("limits", "malformed deletion")
+			c.w.reportBroken("limits", "malformed deletion")
 			return 400, nil
 		}
 		for _, id := range m.Machines {
@@ -97,7 +97,7 @@
 		slow = 1
 	}
 	if !c.w.chance(never) {
-		c.w.after(c.w.between(2*slow, 9*slow), m.start)
+		c.w.schedule(c.w.between(2*slow, 9*slow), m.start)
 	}
 	return m
 }
@@ -111,7 +111,7 @@
 	began   time.Duration
 }
 type simMachine struct {
-	w        *world
+	w        *simulation
 	id       string
 	kind     fleet.Kind
 	born     time.Duration
@@ -167,7 +167,7 @@
 		}
 	})
 	if !m.gone {
-		m.w.after(100*time.Millisecond, m.loop)
+		m.w.schedule(100*time.Millisecond, m.loop)
 	}
 }
 
@@ -185,7 +185,7 @@
 		return
 	}
 	m.hung = true
-	m.w.after(d, func() {
+	m.w.schedule(d, func() {
 		m.hung = false
 		fs := m.wakeups
 		m.wakeups = nil
@@ -259,7 +259,7 @@
 		w.kept = append(w.kept, func(n *simNode) { deliver(n, func(int, []byte) {}) })
 	}
 	if w.chance(w.copies) { // seconds to well over a lease late
-		w.after(w.between(1, 2.5*w.cfg.lease), func() { serve(func(int, []byte) {}) })
+		w.schedule(w.between(1, 2.5*w.cfg.lease), func() { serve(func(int, []byte) {}) })
 	}
 	w.call(m.id, n.label, 4*time.Second, serve, func(status int, b []byte) {
 		m.when(func() {
@@ -355,7 +355,7 @@
 		j := w.jobs[id]
 		n, err := strconv.Atoi(num)
 		if t != nil && t.state != wire.TaskEnded {
-			w.break_("in_use", "%s launched again on %s", c.Task, m.id)
+			w.reportBroken("in_use", "%s launched again on %s", c.Task, m.id)
 			return
 		}
 		nt := &simTask{id: c.Task, job: j, attempt: c.Attempt, state: wire.TaskFetching}
@@ -363,7 +363,7 @@
 			m.order = append(m.order, c.Task)
 		}
 		if j == nil || err != nil || n >= j.tasks {
-			w.break_("no_such", "%s", c.Task)
+			w.reportBroken("no_such", "%s", c.Task)
 			return
 		}
 		cpu, mem := m.free()
@@ -376,7 +376,7 @@
 		if w.cached {
 			fetch = time.Millisecond
 		}
-		w.after(fetch, func() { m.when(func() { m.begin(nt, j, n) }) })
+		w.schedule(fetch, func() { m.when(func() { m.begin(nt, j, n) }) })
 	}
 }
 
@@ -408,7 +408,7 @@
 	if (m.sick || j.bad) && !j.done[n] {
 		run = 300 * time.Millisecond
 	}
-	w.after(run, func() {
+	w.schedule(run, func() {
 		m.when(func() {
 			if m.tasks[t.id] != t || t.state != wire.TaskRunning {
 				return
--- a/internal/controller/upgrade_test.go
+++ b/internal/controller/upgrade_test.go
@@ -42,7 +42,7 @@
 // production left: every job is known, with what is done and cancelled, and machines.
 func TestReadsRecordsOfProduction(t *testing.T) {
 	p := readProduction(t)
-	w := newWorld(1, standardWorld())
+	w := newSimulation(1, standardConfig())
 	w.store.revision = p.Revision
 	want := map[string]bool{}
 	for k, r := range p.Records {
@@ -54,19 +54,19 @@
 	w.run(900 * time.Millisecond)
 	c := w.nodes[0].core
 	for id := range want {
-		if c.book.Open[id] == nil {
+		if c.jobs.Open[id] == nil {
 			t.Errorf("%s is not known", id)
 		}
 	}
-	big := c.book.Open["job-400000"]
+	big := c.jobs.Open["job-400000"]
 	if big == nil || !big.Launched() || big.DoneCount == 0 || big.DoneCount == big.Tasks {
 		t.Fatalf("the job of many parts: %+v", big)
 	}
-	if j := c.book.Open["job-400001"]; j == nil || !j.Cancelled {
+	if j := c.jobs.Open["job-400001"]; j == nil || !j.Cancelled {
 		t.Errorf("the cancelled job: %+v", j)
 	}
-	if len(c.roster) < 5 {
-		t.Errorf("%d machines are known", len(c.roster))
+	if len(c.machineRecords) < 5 {
+		t.Errorf("%d machines are known", len(c.machineRecords))
 	}
 }
 
@@ -107,8 +107,8 @@
 // for all the while. As long as one is old nothing is written that it would misread, and
 // in the end the gangs run. A service that does not wait must be caught.
 func TestUpgradeUnderTroubles(t *testing.T) {
-	play := func(cfg worldConfig, seed uint64, hasty bool) *world {
-		w := newWorld(seed, cfg)
+	play := func(cfg simConfig, seed uint64, hasty bool) *simulation {
+		w := newSimulation(seed, cfg)
 		turn := map[*simNode]bool{}
 		for _, n := range w.nodes {
 			n.old = true
@@ -121,36 +121,36 @@
 				old = old || n.old
 			}
 			if k := w.store.foreign(); old && k != "" {
-				w.break_("foreign", "%s is written while an old controller may serve", k)
+				w.reportBroken("foreign", "%s is written while an old controller may serve", k)
 			}
-			w.after(100*time.Millisecond, look)
+			w.schedule(100*time.Millisecond, look)
 		}
 		look()
 		if hasty {
-			w.sabotage = func(c *Core) { c.own.Reads = 2 }
+			w.sabotage = func(c *Core) { c.ownership.SupportedFormat = 2 }
 		}
 		randomJobs(w, 30, 120*s)
 		w.user("job-400000", spec("blue", 20000, 1, 1), 0.2)
 		for i := 0; i < 10; i++ {
-			w.after(time.Duration(20+8*i)*s, func() { w.user(fmt.Sprintf("job-2%05d", i), gangSpec("blue", 2+i%4, 1, 15), 15) })
+			w.schedule(time.Duration(20+8*i)*s, func() { w.user(fmt.Sprintf("job-2%05d", i), gangSpec("blue", 2+i%4, 1, 15), 15) })
 		}
 		for i, n := range w.nodes {
-			w.after(time.Duration(30+12*i)*s+w.between(0, 8), func() {
+			w.schedule(time.Duration(30+12*i)*s+w.between(0, 8), func() {
 				n.old, turn[n] = false, true
 				n.crash(w.between(0.2, 4))
 			})
 		}
 		for at := 25 * s; at < 110*s; at += w.between(4, 12) {
-			w.after(at, func() { w.nodes[w.rng.IntN(len(w.nodes))].crash(w.between(0.1, 3)) })
+			w.schedule(at, func() { w.nodes[w.rng.IntN(len(w.nodes))].crash(w.between(0.1, 3)) })
 		}
-		w.after(50*s, func() { w.outage(8 * s) })
+		w.schedule(50*s, func() { w.outage(8 * s) })
 		w.run(160 * s)
 		w.calm = w.now
 		w.cancel(w.jobs["job-400000"])
 		w.run(400 * s)
 		return w
 	}
-	withNodes(t, 3, func(t *testing.T, cfg worldConfig, seed uint64) {
+	withNodes(t, 3, func(t *testing.T, cfg simConfig, seed uint64) {
 		w := play(cfg, seed, false)
 		w.mustKeepRules(t)
 		w.mustFinish(t)
@@ -165,7 +165,7 @@
 		}
 	})
 	for seed := uint64(1); seed <= 4; seed++ {
-		for _, b := range play(standardWorld(), seed, true).broken {
+		for _, b := range play(standardConfig(), seed, true).broken {
 			if strings.HasPrefix(b, "foreign") {
 				return
 			}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -8,7 +8,7 @@
 	"umberpaddle/internal/wire"
 )
 
-func hirePrefix(label string, random uint64) string {
+func rentalPrefix(label string, random uint64) string {
 	return "up-" + label + "-" + strconv.FormatUint(random, 36)
 }
 
@@ -21,7 +21,7 @@
 // every node out, and letting them back after a pause, would help nobody.
 func (c *Core) ready(x Ready) {
 	t := c.now.Steady
-	alone := c.store.Down() && t-c.store.LastOK > limits.AloneAfter && c.othersReach > 0 && t-c.othersReach < limits.AloneAfter
+	alone := c.store.Down() && t-c.store.LastOK > limits.AloneAfter && c.peerReachedStoreAt > 0 && t-c.peerReachedStoreAt < limits.AloneAfter
 	if c.store.Mirror.Loaded && len(c.fleet.Types) > 0 && !alone {
 		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200})
 		return
@@ -33,28 +33,28 @@
 // judged again: settings and machine types may have changed since.
 func (c *Core) submit(x Submit) {
 	s, err := wire.ParseSubmission(x.Body)
-	if err != nil && (s == nil || !c.book.Known(s.ID)) {
+	if err != nil && (s == nil || !c.jobs.Known(s.ID)) {
 		c.answer(x.Ref, refuse(400, err.Error()))
 		return
 	}
 	// Not even its form: an earlier version may have taken what this one would not.
-	if c.book.Known(s.ID) {
-		c.book.Query(c.now.Steady, s.ID, func(a jobs.Answer) { c.answer(x.Ref, a) })
+	if c.jobs.Known(s.ID) {
+		c.jobs.Query(c.now.Steady, s.ID, func(a jobs.Answer) { c.answer(x.Ref, a) })
 		return
 	}
 	if !c.store.Mirror.Loaded || len(c.fleet.Types) == 0 {
-		c.answer(x.Ref, jobs.Later())
+		c.answer(x.Ref, jobs.RetryLater())
 		return
 	}
-	if s.Gang && c.own.Format() < 2 {
+	if s.Gang && c.ownership.Format() < 2 {
 		// A controller of an earlier version would read it as an array.
-		c.answer(x.Ref, jobs.Later())
+		c.answer(x.Ref, jobs.RetryLater())
 		return
 	}
-	if why := c.judge(s); why != "" {
+	if why := c.checkSubmission(s); why != "" {
 		// It may have been accepted under other settings; only the state
 		// service knows. Unknown there: refused for good.
-		c.book.Query(c.now.Steady, s.ID, func(a jobs.Answer) {
+		c.jobs.Query(c.now.Steady, s.ID, func(a jobs.Answer) {
 			if a.Status == 404 {
 				a = refuse(422, why)
 			}
@@ -64,11 +64,11 @@
 	}
 	job := s.Job
 	job.SubmitUnix = c.now.Unix
-	c.book.Submit(c.now.Steady, &job, func(a jobs.Answer) { c.answer(x.Ref, a) })
+	c.jobs.Submit(c.now.Steady, &job, func(a jobs.Answer) { c.answer(x.Ref, a) })
 }
 
-// judge tells why a job can never run, or fills in the types on which it can.
-func (c *Core) judge(s *wire.Submission) string {
+// checkSubmission tells why a job can never run, or fills in the types on which it can.
+func (c *Core) checkSubmission(s *wire.Submission) string {
 	team := c.teams[s.Team]
 	if team == nil {
 		return "crew: unknown team"
@@ -98,14 +98,14 @@
 	if s.Gang {
 		n = float64(s.Tasks)
 	}
-	if over(n*s.CPUs, team.CPUsMax) || over(n*s.GPUs, team.GPUsMax) {
+	if exceeds(n*s.CPUs, team.CPUsMax) || exceeds(n*s.GPUs, team.GPUsMax) {
 		return "the job needs more than the team's limit"
 	}
 	return ""
 }
 
-// over tells whether an amount is beyond a limit, where 0 is none; amounts are decimal.
-func over(amount, limit float64) bool { return limit > 0 && amount > limit+1e-6 }
+// exceeds tells whether an amount is beyond a limit, where 0 is none; amounts are decimal.
+func exceeds(amount, limit float64) bool { return limit > 0 && amount > limit+1e-6 }
 
 func contains(list []string, s string) bool {
 	for _, x := range list {
@@ -121,7 +121,7 @@
 		c.answer(x.Ref, refuse(404, "no such job"))
 		return
 	}
-	c.book.Query(c.now.Steady, x.ID, func(a jobs.Answer) { c.answer(x.Ref, a) })
+	c.jobs.Query(c.now.Steady, x.ID, func(a jobs.Answer) { c.answer(x.Ref, a) })
 }
 
 func (c *Core) cancel(x Cancel) {
@@ -129,5 +129,5 @@
 		c.answer(x.Ref, refuse(404, "no such job"))
 		return
 	}
-	c.book.Cancel(c.now.Steady, x.ID, func(a jobs.Answer) { c.answer(x.Ref, a) })
+	c.jobs.Cancel(c.now.Steady, x.ID, func(a jobs.Answer) { c.answer(x.Ref, a) })
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -47,46 +47,46 @@
 
 // Manager is the slice's state.
 type Manager struct {
-	log     func(level, msg string, args ...any)
-	now     time.Duration
-	rate    float64
-	level   float64
-	last    time.Duration
-	prefix  string
-	count   uint64
-	calls   map[uint64]func(status int, body []byte)
-	nextID  uint64
-	out     []Call
-	pause   time.Duration
-	listLag time.Duration
-
-	// Patience is how long a machine that this process has just learned of may
+	logf        func(level, msg string, args ...any)
+	now         time.Duration
+	rate        float64
+	budget      float64
+	last        time.Duration
+	prefix      string
+	count       uint64
+	calls       map[uint64]func(status int, body []byte)
+	nextID      uint64
+	out         []Call
+	pausedUntil time.Duration
+	listLag     time.Duration
+
+	// ReportWithin is how long a machine that this process has just learned of may
 	// take to report.
-	Patience time.Duration
-	// Round is within what time a machine that is up finds a new owner.
-	Round time.Duration
+	ReportWithin time.Duration
+	// TakeoverRound is within what time a machine that is up finds a new owner.
+	TakeoverRound time.Duration
 	// Losses of spot machines and the hours that they ran, both fading, tell
 	// how often spot machines are taken back these days.
 	losses, hours float64
 	riskAt        time.Duration
 
-	Types    map[string]*wire.MachineType
-	Rentals  map[string]*Rental
-	backoff  map[Kind]time.Duration
-	hiring   map[Kind]int
-	unsure   map[string]*hire // by name: requests without an answer are repeated
-	typesAt  time.Duration
-	typesGo  bool
-	listAt   time.Duration
-	listing  bool
-	Listed   bool // a whole list has been read since we began
-	pages    map[string]wire.ListedMachine
-	listFrom time.Duration
-	Gone     func(id string) // a machine is certainly gone
-	gone     map[string]time.Duration
+	Types        map[string]*wire.MachineType
+	Rentals      map[string]*Rental
+	backoff      map[Kind]time.Duration
+	renting      map[Kind]int
+	unconfirmed  map[string]*rentalRequest // by name: requests without an answer are repeated
+	typesAt      time.Duration
+	readingTypes bool
+	listAt       time.Duration
+	listing      bool
+	Listed       bool // a whole list has been read since we began
+	pages        map[string]wire.ListedMachine
+	listFrom     time.Duration
+	OnGone       func(id string) // a machine is certainly gone
+	deletedAt    map[string]time.Duration
 }
 
-type hire struct {
+type rentalRequest struct {
 	kind Kind
 	req  wire.Hire
 }
@@ -95,9 +95,9 @@
 // must never be used by any other life of any node.
 func New(rps, listLagS float64, prefix string, log func(string, string, ...any)) *Manager {
 	// One call is due at once: without the machine types a node takes no jobs.
-	return &Manager{level: 1, log: log, rate: rps * limits.CloudBudget, prefix: prefix, listLag: limits.Seconds(listLagS),
+	return &Manager{budget: 1, logf: log, rate: rps * limits.CloudBudget, prefix: prefix, listLag: limits.Seconds(listLagS),
 		calls: map[uint64]func(int, []byte){}, Types: map[string]*wire.MachineType{}, Rentals: map[string]*Rental{},
-		backoff: map[Kind]time.Duration{}, hiring: map[Kind]int{}, unsure: map[string]*hire{}, gone: map[string]time.Duration{}}
+		backoff: map[Kind]time.Duration{}, renting: map[Kind]int{}, unconfirmed: map[string]*rentalRequest{}, deletedAt: map[string]time.Duration{}}
 }
 
 // Classes lists the machine types.
@@ -112,10 +112,10 @@
 
 // IsGone tells whether a machine was deleted for certain; late reports of it
 // must not bring it back.
-func (f *Manager) IsGone(id string) bool { _, ok := f.gone[id]; return ok }
+func (f *Manager) IsGone(id string) bool { _, ok := f.deletedAt[id]; return ok }
 
-// Know enters a machine known by other means.
-func (f *Manager) Know(id string, k Kind, since time.Duration) *Rental {
+// Track enters a machine known by other means.
+func (f *Manager) Track(id string, k Kind, since time.Duration) *Rental {
 	r := f.Rentals[id]
 	if r == nil && !f.IsGone(id) {
 		r = &Rental{ID: id, Kind: k, Since: since, Known: f.now}
@@ -124,8 +124,8 @@
 	return r
 }
 
-func (f *Manager) ask(method, path string, body any, done func(int, []byte)) {
-	f.level--
+func (f *Manager) call(method, path string, body any, done func(int, []byte)) {
+	f.budget--
 	f.nextID++
 	f.calls[f.nextID] = done
 	f.out = append(f.out, Call{ID: f.nextID, Method: method, Path: path, Body: body, Timeout: limits.CloudTimeout})
@@ -140,12 +140,12 @@
 	}
 	delete(f.calls, id)
 	if status != 200 && status != 400 {
-		f.pause = f.now + limits.CloudBackoff
+		f.pausedUntil = f.now + limits.CloudBackoff
 	}
 	done(status, body)
 }
 
-func (f *Manager) free() bool { return f.level >= 1 && f.now >= f.pause && len(f.calls) < 4 }
+func (f *Manager) mayCall() bool { return f.budget >= 1 && f.now >= f.pausedUntil && len(f.calls) < 4 }
 
 // Tick advances time. active tells whether this node owns classes; others only
 // read the price list. deletions come first, then rentals, then lists.
@@ -156,16 +156,16 @@
 		if !active {
 			rate = min(rate, 0.2)
 		}
-		f.level = min(max(2*rate, 1), f.level+rate*(f.now-f.last).Seconds())
+		f.budget = min(max(2*rate, 1), f.budget+rate*(f.now-f.last).Seconds())
 		f.last = f.now
 	}
-	if !f.typesGo && f.now >= f.typesAt && f.free() {
+	if !f.readingTypes && f.now >= f.typesAt && f.mayCall() {
 		f.readTypes()
 	}
 	if active {
 		f.deleteMarked()
-		f.repeatHires()
-		f.list()
+		f.repeatRentals()
+		f.readList()
 	}
 	out := f.out
 	f.out = nil
@@ -173,15 +173,15 @@
 }
 
 func (f *Manager) readTypes() {
-	f.typesGo = true
-	f.ask("GET", "/machine_types", nil, func(status int, body []byte) {
-		f.typesGo = false
+	f.readingTypes = true
+	f.call("GET", "/machine_types", nil, func(status int, body []byte) {
+		f.readingTypes = false
 		f.typesAt = f.now + limits.CloudBackoff
 		var t wire.MachineTypes
 		if status != 200 || wire.Decode(body, &t) != nil {
 			return
 		}
-		f.typesAt = f.now + limits.TypesEvery
+		f.typesAt = f.now + limits.TypesInterval
 		for i := range t.Types {
 			if t.Types[i].Name != "" {
 				f.Types[t.Types[i].Name] = &t.Types[i]
@@ -197,11 +197,11 @@
 		return
 	}
 	r.Deleted = true
-	f.log("info", "machine returned", "machine", id, "why", why)
+	f.logf("info", "machine returned", "machine", id, "why", why)
 }
 
 func (f *Manager) deleteMarked() {
-	if !f.free() {
+	if !f.mayCall() {
 		return
 	}
 	var names []string
@@ -218,7 +218,7 @@
 	for _, id := range names {
 		f.Rentals[id].asking = true
 	}
-	f.ask("POST", "/hosts/delete", wire.Machines{Machines: names}, func(status int, body []byte) {
+	f.call("POST", "/hosts/delete", wire.Machines{Machines: names}, func(status int, body []byte) {
 		for _, id := range names {
 			r := f.Rentals[id]
 			if r == nil {
@@ -234,22 +234,22 @@
 
 func (f *Manager) forget(id string) {
 	delete(f.Rentals, id)
-	f.gone[id] = f.now
-	for g, at := range f.gone {
+	f.deletedAt[id] = f.now
+	for g, at := range f.deletedAt {
 		// Longer than any list or report may lag.
 		if f.now-at > 20*time.Minute {
-			delete(f.gone, g)
+			delete(f.deletedAt, g)
 		}
 	}
-	f.Gone(id)
+	f.OnGone(id)
 }
 
-// MayHire tells whether a kind may be asked for now.
-func (f *Manager) MayHire(k Kind) bool {
-	if f.now < f.backoff[k] || !f.free() {
+// MayRent tells whether a kind may be asked for now.
+func (f *Manager) MayRent(k Kind) bool {
+	if f.now < f.backoff[k] || !f.mayCall() {
 		return false
 	}
-	for _, h := range f.unsure {
+	for _, h := range f.unconfirmed {
 		if h.kind == k {
 			return false
 		}
@@ -257,52 +257,52 @@
 	return true
 }
 
-// Hirable tells whether a kind was not refused a moment ago.
-func (f *Manager) Hirable(k Kind) bool { return f.now >= f.backoff[k] }
+// Available tells whether a kind was not refused a moment ago.
+func (f *Manager) Available(k Kind) bool { return f.now >= f.backoff[k] }
 
 // Refused tells whether the cloud lately had too few machines of a kind.
 func (f *Manager) Refused(k Kind) bool {
 	until, ok := f.backoff[k]
-	return ok && f.now < until-limits.HireBackoff+limits.RefusedFor
+	return ok && f.now < until-limits.RentBackoff+limits.RefusedFor
 }
 
-// Hire asks for machines.
-func (f *Manager) Hire(k Kind, n int) {
+// Rent asks for machines.
+func (f *Manager) Rent(k Kind, n int) {
 	f.count++
-	h := &hire{kind: k, req: wire.Hire{Request: fmt.Sprintf("%s-%d", f.prefix, f.count), Type: k.Class, Zone: k.Zone, Spot: k.Spot, Count: min(n, limits.HireMost)}}
-	f.sendHire(h)
+	h := &rentalRequest{kind: k, req: wire.Hire{Request: fmt.Sprintf("%s-%d", f.prefix, f.count), Type: k.Class, Zone: k.Zone, Spot: k.Spot, Count: min(n, limits.RentMost)}}
+	f.sendRental(h)
 }
 
-func (f *Manager) sendHire(h *hire) {
+func (f *Manager) sendRental(h *rentalRequest) {
 	k := h.kind
-	delete(f.unsure, h.req.Request)
-	f.hiring[k] += h.req.Count
-	f.ask("POST", "/hosts", h.req, func(status int, body []byte) {
-		f.hiring[k] -= h.req.Count
+	delete(f.unconfirmed, h.req.Request)
+	f.renting[k] += h.req.Count
+	f.call("POST", "/hosts", h.req, func(status int, body []byte) {
+		f.renting[k] -= h.req.Count
 		var m wire.Machines
 		switch {
 		case status == 200 && wire.Decode(body, &m) == nil:
 			for _, id := range m.Machines {
-				f.Know(id, k, f.now)
+				f.Track(id, k, f.now)
 			}
-			f.log("info", "machines rented", "class", k.Class, "zone", k.Zone, "spot", k.Spot, "asked", h.req.Count, "got", len(m.Machines))
+			f.logf("info", "machines rented", "class", k.Class, "zone", k.Zone, "spot", k.Spot, "asked", h.req.Count, "got", len(m.Machines))
 			if len(m.Machines) < h.req.Count {
-				f.backoff[k] = f.now + limits.HireBackoff
+				f.backoff[k] = f.now + limits.RentBackoff
 			}
 		case status == 0:
 			// Perhaps rented: the same name tells, and rents nothing twice.
-			f.unsure[h.req.Request] = h
+			f.unconfirmed[h.req.Request] = h
 		default:
-			f.log("info", "no machines", "class", k.Class, "zone", k.Zone, "spot", k.Spot, "asked", h.req.Count, "status", status)
-			f.backoff[k] = f.now + limits.HireBackoff
+			f.logf("info", "no machines", "class", k.Class, "zone", k.Zone, "spot", k.Spot, "asked", h.req.Count, "status", status)
+			f.backoff[k] = f.now + limits.RentBackoff
 		}
 	})
 }
 
-func (f *Manager) repeatHires() {
-	for _, name := range slices.Sorted(maps.Keys(f.unsure)) {
-		if f.free() {
-			f.sendHire(f.unsure[name])
+func (f *Manager) repeatRentals() {
+	for _, name := range slices.Sorted(maps.Keys(f.unconfirmed)) {
+		if f.mayCall() {
+			f.sendRental(f.unconfirmed[name])
 		}
 	}
 }
@@ -318,8 +318,8 @@
 	return k.Spot && !o.Spot
 }
 
-func (f *Manager) list() {
-	if f.listing || !f.free() || (f.pages == nil && f.now < f.listAt) {
+func (f *Manager) readList() {
+	if f.listing || !f.mayCall() || (f.pages == nil && f.now < f.listAt) {
 		return
 	}
 	if f.pages == nil {
@@ -335,7 +335,7 @@
 		path += "&since=" + since
 	}
 	f.listing = true
-	f.ask("GET", path, nil, func(status int, body []byte) {
+	f.call("GET", path, nil, func(status int, body []byte) {
 		f.listing = false
 		var l wire.MachineList
 		if status != 200 || wire.Decode(body, &l) != nil {
@@ -345,19 +345,19 @@
 			f.pages[m.ID] = m
 		}
 		if !l.More || len(l.Machines) == 0 {
-			f.merge()
+			f.mergeList()
 		}
 	})
 }
 
-// merge takes a whole list in. Lists lag: a machine that is missing may be new,
+// mergeList takes a whole list in. Lists lag: a machine that is missing may be new,
 // and one that is listed may be gone.
-func (f *Manager) merge() {
-	f.listAt = f.now + limits.ListEvery
+func (f *Manager) mergeList() {
+	f.listAt = f.now + limits.ListInterval
 	f.Listed = true
 	for id, m := range f.pages {
 		age := limits.Seconds(m.AgeS)
-		r := f.Know(id, Kind{m.Type, m.Zone, m.Spot}, f.now-age)
+		r := f.Track(id, Kind{m.Type, m.Zone, m.Spot}, f.now-age)
 		if r == nil {
 			continue
 		}
@@ -369,17 +369,17 @@
 		}
 		// Listed once and not any more: gone, as the cloud promises. New ones
 		// may be missing for twice the lag.
-		if r.SeenAt != 0 && f.listFrom-r.SeenAt > 2*f.listLag+limits.ListEvery || r.SeenAt == 0 && f.listFrom-r.Since > 3*f.listLag+limits.ListEvery && !r.Up {
+		if r.SeenAt != 0 && f.listFrom-r.SeenAt > 2*f.listLag+limits.ListInterval || r.SeenAt == 0 && f.listFrom-r.Since > 3*f.listLag+limits.ListInterval && !r.Up {
 			f.Delete(r.ID, "no longer listed")
 		}
 	}
 	f.pages = nil
 }
 
-// Sweep marks machines that failed or never came up. hearing tells whether workers
+// RemoveDeadRentals marks machines that failed or never came up. hearing tells whether workers
 // reach this node, and from is since when they do.
-func (f *Manager) Sweep(hearing bool, from time.Duration) {
-	f.reckonRisk()
+func (f *Manager) RemoveDeadRentals(hearing bool, from time.Duration) {
+	f.updateRisk()
 	for _, r := range f.Rentals {
 		if r.Deleted {
 			continue
@@ -404,7 +404,7 @@
 		}
 		// Known guards against a takeover that returns running machines
 		// only because they have not reported to the new owner yet.
-		if f.now-r.Since > boot+limits.BootSlack && f.now-known > f.Patience {
+		if f.now-r.Since > boot+limits.BootSlack && f.now-known > f.ReportWithin {
 			f.Delete(r.ID, "never came up")
 		}
 	}
@@ -416,14 +416,14 @@
 func (f *Manager) Booting() map[Kind]int {
 	n := map[Kind]int{}
 	for _, r := range f.Rentals {
-		if !r.Up && !r.Deleted && !(r.WasUp && f.now-r.Known > f.Round) {
+		if !r.Up && !r.Deleted && !(r.WasUp && f.now-r.Known > f.TakeoverRound) {
 			n[r.Kind]++
 		}
 	}
-	for k, c := range f.hiring {
+	for k, c := range f.renting {
 		n[k] += c
 	}
-	for _, h := range f.unsure {
+	for _, h := range f.unconfirmed {
 		n[h.kind] += h.req.Count
 	}
 	return n
@@ -432,8 +432,8 @@
 // SpotLost records that a spot machine was taken back or vanished.
 func (f *Manager) SpotLost() { f.losses++ }
 
-// reckonRisk lets the record of spot losses go on and fade.
-func (f *Manager) reckonRisk() {
+// updateRisk lets the record of spot losses go on and fade.
+func (f *Manager) updateRisk() {
 	d := f.now - f.riskAt
 	f.riskAt = f.now
 	keep := math.Exp(-d.Seconds() / limits.RiskMemory.Seconds())
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -37,15 +37,15 @@
 func TestUnansweredRentalIsRepeatedByName(t *testing.T) {
 	f := New(10, 4, "p", func(string, string, ...any) {})
 	var gone []string
-	f.Gone = func(id string) { gone = append(gone, id) }
+	f.OnGone = func(id string) { gone = append(gone, id) }
 	now := time.Second
 	step(t, f, now)
 	k := Kind{Class: "c", Zone: "z", Spot: true}
-	f.Hire(k, 3)
+	f.Rent(k, 3)
 	calls := step(t, f, now)
 	first := calls[0].Body.(wire.Hire)
 	f.Reply(now, calls[0].ID, 0, nil)
-	if f.MayHire(k) || f.Booting()[k] != 3 {
+	if f.MayRent(k) || f.Booting()[k] != 3 {
 		t.Fatal("an unanswered rental is not counted")
 	}
 	now += 5 * time.Second
@@ -54,12 +54,12 @@
 		t.Fatalf("repeated as %+v, want %+v", calls, first)
 	}
 	f.Reply(now, calls[0].ID, 200, pack(t, wire.Machines{Machines: []string{"i-1", "i-2"}}))
-	if f.Booting()[k] != 2 || f.Hirable(k) || len(f.Rentals) != 2 {
-		t.Errorf("booting %v, hirable %v", f.Booting(), f.Hirable(k))
+	if f.Booting()[k] != 2 || f.Available(k) || len(f.Rentals) != 2 {
+		t.Errorf("booting %v, hirable %v", f.Booting(), f.Available(k))
 	}
 	now += 10 * time.Second
 	step(t, f, now)
-	f.Hire(k, 1)
+	f.Rent(k, 1)
 	if again := step(t, f, now)[0].Body.(wire.Hire); again.Request == first.Request {
 		t.Error("a request name was used again")
 	}
@@ -74,13 +74,13 @@
 	now += 5 * time.Second
 	calls = step(t, f, now)
 	f.Reply(now, calls[0].ID, 200, nil)
-	if len(gone) != 1 || !f.IsGone("i-1") || f.Know("i-1", k, now) != nil {
+	if len(gone) != 1 || !f.IsGone("i-1") || f.Track("i-1", k, now) != nil {
 		t.Errorf("gone %v", gone)
 	}
 	// One that never comes up goes in the end.
 	now += 2 * time.Minute
 	step(t, f, now)
-	f.Sweep(true, 0)
+	f.RemoveDeadRentals(true, 0)
 	if !f.Rentals["i-2"].Deleted {
 		t.Error("a machine that never came up is kept")
 	}
@@ -88,7 +88,7 @@
 
 func TestSpotRiskFollowsLosses(t *testing.T) {
 	f := New(10, 4, "p", func(string, string, ...any) {})
-	f.Know("i-1", Kind{Spot: true}, 0).Up = true
+	f.Track("i-1", Kind{Spot: true}, 0).Up = true
 	calm := f.SpotRisk(60)
 	for i := 0; i < 5; i++ {
 		f.SpotLost()
@@ -97,7 +97,7 @@
 		t.Errorf("risk %v after losses, %v before", f.SpotRisk(60), calm)
 	}
 	f.now = time.Hour
-	f.Sweep(true, 0)
+	f.RemoveDeadRentals(true, 0)
 	if f.SpotRisk(60) > calm {
 		t.Errorf("risk %v an hour later, %v before", f.SpotRisk(60), calm)
 	}
@@ -107,11 +107,11 @@
 // found this one in time is no machine on its way; one that boots still is.
 func TestMissingMachinesAreNoSupply(t *testing.T) {
 	f := New(10, 4, "p", func(string, string, ...any) {})
-	f.Round = 8 * time.Second
+	f.TakeoverRound = 8 * time.Second
 	step(t, f, time.Second)
 	k := Kind{Class: "c", Zone: "z"}
-	f.Know("i-1", k, time.Second).WasUp = true
-	f.Know("i-2", k, time.Second)
+	f.Track("i-1", k, time.Second).WasUp = true
+	f.Track("i-2", k, time.Second)
 	if n := f.Booting()[k]; n != 2 {
 		t.Errorf("%d on their way at first, want 2", n)
 	}
--- a/internal/jobs/book.go
+++ b/internal/jobs/registry.go
@@ -28,21 +28,21 @@
 )
 
 const (
-	keyOpen     = statestore.Root + "o/"
-	keyCancel   = statestore.Root + "c/"
-	keyProgress = statestore.Root + "p/"
-	keyPart     = statestore.Root + "q/"
-	keyDone     = statestore.Root + "s/"
-	keyFinal    = "fin/"
+	keyJob       = statestore.Root + "o/"
+	keyCancelled = statestore.Root + "c/"
+	keyLargePart = statestore.Root + "p/"
+	keyPart      = statestore.Root + "q/"
+	keyDoneSets  = statestore.Root + "s/"
+	keyFinal     = "fin/"
 )
 
-// final is the value of fin/ID.
-type final struct {
+// finalState is the value of fin/ID.
+type finalState struct {
 	Status string `msgpack:"s"`
 	Done   int    `msgpack:"d"`
 }
 
-type progress struct {
+type donePart struct {
 	Done string `msgpack:"b"`
 }
 
@@ -58,25 +58,25 @@
 	Saving
 )
 
-// Told is how a worker was told of an attempt that no report has shown yet.
-type Told int
+// Delivery is how a worker was told of an attempt that no report has shown yet.
+type Delivery int
 
 // Ways of telling.
 const (
-	Replied  Told = iota // in the answer to a report: the next report decides
-	Ordered              // in an order that is under way
-	Answered             // in an order that was answered: any newer list decides
-	Lost                 // in an order that was not answered, and may be carried out late
+	InReply         Delivery = iota // in the answer to a report: the next report decides
+	DirectPending                   // in an order that is under way
+	DirectConfirmed                 // in an order that was answered: any newer list decides
+	DirectUnknown                   // in an order that was not answered, and may be carried out late
 )
 
-// Place is where a task is.
-type Place struct {
-	Machine string
-	Attempt uint64
-	State   TaskState
-	Ran     time.Duration // when it was first seen running; 0: not yet
-	Told    Told
-	Session uint64 // of the worker, if Ordered or Lost
+// Assignment is where a task is.
+type Assignment struct {
+	Machine      string
+	Attempt      uint64
+	State        TaskState
+	RunningSince time.Duration // when it was first seen running; 0: not yet
+	Delivery     Delivery
+	Session      uint64 // of the worker, if Ordered or Lost
 }
 
 // Job is an unfinished job, or a cancelled one with tasks that may be left.
@@ -85,28 +85,28 @@
 	version   uint64
 	Cancelled bool
 	// CancelledAt is when this node learned of the cancellation.
-	CancelledAt time.Duration
-	Done        Bits
-	DoneCount   int
-	durable     Bits
-	parts       map[string]uint64 // versions of the written parts of the done set, by key
-	dirty       map[int]bool
-	launched    bool // its record is written
-	asked       bool // its record was wished for
-	writing     bool
-	closing     bool
-	Placed      map[int]Place
-	scan        int
-	Class0      string // a class of the job, for the owner's guard
-	TypeSet     map[string]bool
-	Shape       string // equal for jobs whose tasks may use the same machines
+	CancelledAt     time.Duration
+	Done            Bits
+	DoneCount       int
+	durable         Bits
+	parts           map[string]uint64 // versions of the written parts of the done set, by key
+	dirty           map[int]bool
+	launched        bool // its record is written
+	recordRequested bool // its record was wished for
+	writing         bool
+	closing         bool
+	Assigned        map[int]Assignment
+	nextScan        int
+	GuardClass      string // a class of the job, for the owner's guard
+	TypeSet         map[string]bool
+	Shape           string // equal for jobs whose tasks may use the same machines
 
 	Active   bool // this node owns the job's classes
 	Prepared bool // part 0 is written: tasks may be launched
 	Frozen   bool // launched by an earlier owner, whereabouts not yet known
-	Begun    bool // a task of it was seen running, or done
+	Started  bool // a task of it was seen running, or done
 
-	Start GangStart // of a gang: the attempt under way
+	GangRun GangRun // of a gang: the attempt under way
 
 	// Failures, for telling a faulty job from a faulty machine.
 	FailedOn  map[string]bool
@@ -115,23 +115,23 @@
 	Backoff   time.Duration
 	NotBefore time.Duration
 
-	shownDone, shownRunning int // counts told by the owner, for display
+	displayDone, displayRunning int // counts told by the owner, for display
 }
 
-// GangStart is one attempt of a gang, as its owner follows it. All its tasks have one
+// GangRun is one attempt of a gang, as its owner follows it. All its tasks have one
 // attempt number.
-type GangStart struct {
-	Attempt uint64          // 0: none is under way
-	Began   bool            // a task of it was seen running: none can be replaced any more
-	Ending  bool            // it has failed: all that is left of it must go before the next
-	Stopped time.Duration   // since when all were told to save and stop; 0: not
-	Left    map[string]bool // machines that a task of it has left
+type GangRun struct {
+	Attempt      uint64          // 0: none is under way
+	Started      bool            // a task of it was seen running: none can be replaced any more
+	Ending       bool            // it has failed: all that is left of it must go before the next
+	StoppedAt    time.Duration   // since when all were told to save and stop; 0: not
+	LeftMachines map[string]bool // machines that a task of it has left
 }
 
 // Running counts the tasks that run.
 func (j *Job) Running() int {
 	n := 0
-	for _, p := range j.Placed {
+	for _, p := range j.Assigned {
 		if p.State >= Running {
 			n++
 		}
@@ -146,32 +146,32 @@
 }
 
 // Waiting counts the tasks that neither are done nor have a place.
-func (j *Job) Waiting() int { return j.Tasks - j.DoneCount - len(j.Placed) }
+func (j *Job) Waiting() int { return j.Tasks - j.DoneCount - len(j.Assigned) }
 
-// PlacedTasks lists the tasks that have a place, in order.
-func (j *Job) PlacedTasks() []int { return slices.Sorted(maps.Keys(j.Placed)) }
+// AssignedTasks lists the tasks that have a place, in order.
+func (j *Job) AssignedTasks() []int { return slices.Sorted(maps.Keys(j.Assigned)) }
 
 // NextTask returns the lowest waiting task, or -1.
 func (j *Job) NextTask() int {
-	for ; j.scan < j.Tasks; j.scan++ {
-		if j.Done.Has(j.scan) {
+	for ; j.nextScan < j.Tasks; j.nextScan++ {
+		if j.Done.Has(j.nextScan) {
 			continue
 		}
-		if _, ok := j.Placed[j.scan]; !ok {
-			return j.scan
+		if _, ok := j.Assigned[j.nextScan]; !ok {
+			return j.nextScan
 		}
 	}
 	return -1
 }
 
-// Place puts a task on a machine.
-func (j *Job) Place(task int, p Place) { j.Placed[task] = p }
+// Assign puts a task on a machine.
+func (j *Job) Assign(task int, p Assignment) { j.Assigned[task] = p }
 
-// Unplace takes a task's place away: it waits again unless it is done.
-func (j *Job) Unplace(task int) {
-	delete(j.Placed, task)
-	if task < j.scan {
-		j.scan = task
+// Unassign takes a task's place away: it waits again unless it is done.
+func (j *Job) Unassign(task int) {
+	delete(j.Assigned, task)
+	if task < j.nextScan {
+		j.nextScan = task
 	}
 }
 
@@ -182,12 +182,12 @@
 	}
 	j.Done.Set(task)
 	j.DoneCount++
-	j.Begun = true
+	j.Started = true
 	j.dirty[task/limits.ChunkTasks] = true
 }
 
-// Durable tells whether a task's completion is in the state service.
-func (j *Job) Durable(task int) bool { return j.durable.Has(task) }
+// IsDurable tells whether a task's completion is in the state service.
+func (j *Job) IsDurable(task int) bool { return j.durable.Has(task) }
 
 // TaskID joins a job's id and a task number; SplitTask takes them apart.
 func TaskID(job string, task int) string { return job + "/" + strconv.Itoa(task) }
@@ -202,37 +202,37 @@
 	return job, n
 }
 
-// Book is the slice's state.
-type Book struct {
-	store *statestore.Store
-	log   func(level, msg string, args ...any)
-	now   time.Duration
-	unix  float64 // time of day, for the log
-	Open  map[string]*Job
+// Registry is the slice's state.
+type Registry struct {
+	store    *statestore.Store
+	log      func(level, msg string, args ...any)
+	now      time.Duration
+	unixTime float64 // time of day, for the log
+	Open     map[string]*Job
 
-	finals     map[string]final
+	finals     map[string]finalState
 	finalOrder []string
-	// told are cancelled jobs that this node tells users of, and since when; news are
+	// confirmedCancels are cancelled jobs that this node tells users of, and since when; news are
 	// those that owners were not told of yet.
-	told map[string]time.Duration
-	news []string
-
-	asks      []*ask
-	pending   []*ask // questions not answered yet, waiting or under way
-	asking    bool
-	submits   []*submit
-	waiting   int
-	byRef     map[string]*submit
-	flushAt   map[string]time.Duration
-	nextFlush time.Duration
-	nextLook  time.Duration
-	orphans   map[string]bool // keys of done sets without a job
-	sweeping  bool
-	done      *statestore.Pack
-	// closed are jobs that are over and whose records go with the next clean-up.
-	closed   map[string]*Job
-	cleaning bool
-	stray    map[string]bool // records without a job
+	confirmedCancels map[string]time.Duration
+	newCancels       []string
+
+	lookups         []*lookup
+	openLookups     []*lookup // questions not answered yet, waiting or under way
+	lookupInFlight  bool
+	submissions     []*submission
+	waiting         int
+	submissionsByID map[string]*submission
+	flushAt         map[string]time.Duration
+	nextFlush       time.Duration
+	nextScan        time.Duration
+	orphanParts     map[string]bool // keys of done sets without a job
+	removingOrphans bool
+	doneSets        *statestore.RecordTable
+	// finalized are jobs that are over and whose records go with the next clean-up.
+	finalized         map[string]*Job
+	removingFinalized bool
+	orphanRecords     map[string]bool // records without a job
 
 	// guard gives the condition under which this node's writes as owner hold.
 	guard func(class string) wire.Guard
@@ -241,23 +241,23 @@
 }
 
 // New makes an empty book.
-func New(store *statestore.Store, guard func(class string) wire.Guard, format func() int, log func(string, string, ...any)) *Book {
-	b := &Book{store: store, guard: guard, format: format, log: log, Open: map[string]*Job{}, finals: map[string]final{}, told: map[string]time.Duration{}, byRef: map[string]*submit{},
-		flushAt: map[string]time.Duration{}, orphans: map[string]bool{}, stray: map[string]bool{}, closed: map[string]*Job{}}
-	b.done = statestore.NewPack(store, keyDone, guard, b.applyDone)
+func New(store *statestore.Store, guard func(class string) wire.Guard, format func() int, log func(string, string, ...any)) *Registry {
+	b := &Registry{store: store, guard: guard, format: format, log: log, Open: map[string]*Job{}, finals: map[string]finalState{}, confirmedCancels: map[string]time.Duration{}, submissionsByID: map[string]*submission{},
+		flushAt: map[string]time.Duration{}, orphanParts: map[string]bool{}, orphanRecords: map[string]bool{}, finalized: map[string]*Job{}}
+	b.doneSets = statestore.NewRecordTable(store, keyDoneSets, guard, b.applyDone)
 	return b
 }
 
 // applyDone follows the record of a job with few tasks.
-func (b *Book) applyDone(id, _ string, value msgpack.RawMessage, gone bool) {
-	delete(b.stray, id)
+func (b *Registry) applyDone(id, _ string, value msgpack.RawMessage, gone bool) {
+	delete(b.orphanRecords, id)
 	j := b.Open[id]
 	var text string
-	if gone || wire.Decode(value, &text) != nil || b.closed[id] != nil {
+	if gone || wire.Decode(value, &text) != nil || b.finalized[id] != nil {
 		return
 	}
 	if j == nil {
-		b.stray[id] = true
+		b.orphanRecords[id] = true
 		return
 	}
 	j.launched = true
@@ -265,39 +265,39 @@
 	j.DoneCount += len(j.Done.merge(0, limits.ChunkTasks, text, j.Tasks))
 }
 
-// Progress tells whether a key holds done sets.
-func (b *Book) Progress(key string) bool {
-	return strings.HasPrefix(key, keyDone) || strings.HasPrefix(key, keyProgress) || strings.HasPrefix(key, keyPart)
+// IsDoneSet tells whether a key holds done sets.
+func (b *Registry) IsDoneSet(key string) bool {
+	return strings.HasPrefix(key, keyDoneSets) || strings.HasPrefix(key, keyLargePart) || strings.HasPrefix(key, keyPart)
 }
 
-// Forget drops what was to be written as owner of a class.
-func (b *Book) Forget(class string) {
-	b.done.Forget(class)
+// DropPending drops what was to be written as owner of a class.
+func (b *Registry) DropPending(class string) {
+	b.doneSets.Forget(class)
 	for _, j := range b.Open {
-		if j.Class0 == class {
-			j.asked = false
+		if j.GuardClass == class {
+			j.recordRequested = false
 		}
 	}
 }
 
 // Apply follows a change of the mirror.
-func (b *Book) Apply(c statestore.Change) {
-	b.done.Apply(c)
+func (b *Registry) Apply(c statestore.Change) {
+	b.doneSets.Apply(c)
 	switch {
-	case strings.HasPrefix(c.Key, keyOpen):
-		id := c.Key[len(keyOpen):]
+	case strings.HasPrefix(c.Key, keyJob):
+		id := c.Key[len(keyJob):]
 		if c.Removed {
 			if j := b.Open[id]; j != nil {
 				// Parts that went in the same transaction follow at once.
 				for key := range j.parts {
-					b.orphan(key)
+					b.markOrphan(key)
 				}
 			}
-			b.drop(id)
-			if j := b.closed[id]; j != nil {
-				delete(b.closed, id)
+			b.forget(id)
+			if j := b.finalized[id]; j != nil {
+				delete(b.finalized, id)
 				if j.launched {
-					b.stray[id] = true
+					b.orphanRecords[id] = true
 				}
 			}
 			return
@@ -307,13 +307,13 @@
 			b.log("error", "unreadable job record", "job", id)
 			return
 		}
-		if b.Open[id] != nil || b.closed[id] != nil {
+		if b.Open[id] != nil || b.finalized[id] != nil {
 			return
 		}
 		j := &Job{Job: spec, version: c.Entry.Version, Done: newBits(spec.Tasks), durable: newBits(spec.Tasks),
-			parts: map[string]uint64{}, dirty: map[int]bool{}, Placed: map[int]Place{}, FailedOn: map[string]bool{}}
+			parts: map[string]uint64{}, dirty: map[int]bool{}, Assigned: map[int]Assignment{}, FailedOn: map[string]bool{}}
 		if len(spec.Types) > 0 {
-			j.Class0 = spec.Types[0]
+			j.GuardClass = spec.Types[0]
 		}
 		j.TypeSet = make(map[string]bool, len(spec.Types))
 		for _, t := range spec.Types {
@@ -321,34 +321,34 @@
 		}
 		j.Shape = strings.Join(spec.Types, " ") + "|" + spec.Zone + "|" + strconv.FormatBool(spec.Spot)
 		b.Open[id] = j
-		if v, ok := b.done.Stored(id); ok {
+		if v, ok := b.doneSets.Stored(id); ok {
 			b.applyDone(id, "", v, false)
 		}
 		// Keys sort so that c/ comes before o/: a mark read earlier counts now.
-		if _, ok := b.store.Mirror.Get(keyCancel + id); ok {
+		if _, ok := b.store.Mirror.Get(keyCancelled + id); ok {
 			j.Cancelled, j.CancelledAt = true, b.now
 		}
 		// Told by users' answers or by a peer before the record came.
 		if b.finals[id].Status == wire.StatusCancelled {
 			j.Cancelled, j.CancelledAt = true, b.now
 		}
-	case strings.HasPrefix(c.Key, keyCancel):
-		id := c.Key[len(keyCancel):]
+	case strings.HasPrefix(c.Key, keyCancelled):
+		id := c.Key[len(keyCancelled):]
 		if !c.Removed {
 			b.markCancelled(id)
 		}
-	case strings.HasPrefix(c.Key, keyProgress), strings.HasPrefix(c.Key, keyPart):
+	case strings.HasPrefix(c.Key, keyLargePart), strings.HasPrefix(c.Key, keyPart):
 		tasks := limits.ChunkTasks
-		if strings.HasPrefix(c.Key, keyProgress) {
+		if strings.HasPrefix(c.Key, keyLargePart) {
 			tasks = limits.OldChunkTasks
 		}
-		id, part, ok := strings.Cut(c.Key[len(keyProgress):], "/")
+		id, part, ok := strings.Cut(c.Key[len(keyLargePart):], "/")
 		k, err := strconv.Atoi(part)
 		j := b.Open[id]
 		if c.Removed {
-			delete(b.orphans, c.Key)
+			delete(b.orphanParts, c.Key)
 		} else if j == nil {
-			b.orphans[c.Key] = true
+			b.orphanParts[c.Key] = true
 		}
 		if !ok || err != nil || j == nil || k < 0 || k*tasks >= j.Tasks {
 			return
@@ -357,7 +357,7 @@
 			delete(j.parts, c.Key)
 			return
 		}
-		var p progress
+		var p donePart
 		if wire.Decode(c.Entry.Value, &p) != nil {
 			return
 		}
@@ -367,26 +367,26 @@
 	}
 }
 
-func (b *Book) orphan(key string) {
+func (b *Registry) markOrphan(key string) {
 	if _, ok := b.store.Mirror.Get(key); ok {
-		b.orphans[key] = true
+		b.orphanParts[key] = true
 	}
 }
 
-// sweep removes parts of done sets whose job is over: they did not fit into the
+// removeOrphans removes parts of done sets whose job is over: they did not fit into the
 // transaction that ended it.
-func (b *Book) sweep() {
-	for id := range b.stray {
-		b.done.Remove(id, limits.PackLater)
+func (b *Registry) removeOrphans() {
+	for id := range b.orphanRecords {
+		b.doneSets.Remove(id, limits.PageDelay)
 	}
-	if len(b.orphans) == 0 || b.sweeping {
+	if len(b.orphanParts) == 0 || b.removingOrphans {
 		return
 	}
 	var t wire.Txn
-	for _, key := range slices.Sorted(maps.Keys(b.orphans)) {
+	for _, key := range slices.Sorted(maps.Keys(b.orphanParts)) {
 		e, ok := b.store.Mirror.Get(key)
 		if !ok {
-			delete(b.orphans, key)
+			delete(b.orphanParts, key)
 			continue
 		}
 		if len(t.Then) < b.store.MaxWrites() {
@@ -397,29 +397,29 @@
 	if len(t.Then) == 0 {
 		return
 	}
-	b.sweeping = true
-	b.store.Txn(statestore.Progress, limits.StoreTimeout*2, t, func(statestore.Reply) { b.sweeping = false })
+	b.removingOrphans = true
+	b.store.Txn(statestore.Progress, limits.StoreTimeout*2, t, func(statestore.Reply) { b.removingOrphans = false })
 }
 
 // Launched tells whether any owner may have launched tasks of the job.
 func (j *Job) Launched() bool { return j.launched || len(j.parts) > 0 }
 
-// few tells whether the job's done set goes with those of others.
-func (j *Job) few() bool { return j.Tasks <= limits.PackTasks }
+// isPacked tells whether the job's done set goes with those of others.
+func (j *Job) isPacked() bool { return j.Tasks <= limits.PackedTasks }
 
 // Prepare writes the mark that a job's tasks may be running, before the first
 // launch. It is done once Prepared is set.
-func (b *Book) Prepare(j *Job) {
+func (b *Registry) Prepare(j *Job) {
 	switch {
 	case j.Launched():
 		j.Prepared = true
-	case j.few():
-		if !j.asked {
-			j.asked = true
+	case j.isPacked():
+		if !j.recordRequested {
+			j.recordRequested = true
 			// Guards against jobs that waited for one change each, one after the other,
 			// when many small ones came.
 			wait := min(b.store.WriteWait(statestore.Finish), limits.PrepareWait)
-			b.done.Need(j.Class0, j.ID, j.Done.chunk(0, limits.ChunkTasks), wait)
+			b.doneSets.SetUrgent(j.GuardClass, j.ID, j.Done.chunk(0, limits.ChunkTasks), wait)
 		}
 	case !j.writing:
 		b.writePart(j, 0, statestore.Roster)
@@ -428,11 +428,11 @@
 
 // writePart writes part k of a done set. As long as a node may run a version that reads
 // only the larger parts, those are written.
-func (b *Book) writePart(j *Job, k int, prio statestore.Priority) {
+func (b *Registry) writePart(j *Job, k int, prio statestore.Priority) {
 	j.writing = true
 	prefix, tasks, first := keyPart, limits.ChunkTasks, k
 	if b.format() < 2 {
-		prefix, tasks = keyProgress, limits.OldChunkTasks
+		prefix, tasks = keyLargePart, limits.OldChunkTasks
 		first = k * limits.ChunkTasks / tasks
 	}
 	key := prefix + j.ID + "/" + strconv.Itoa(first)
@@ -445,8 +445,8 @@
 		}
 	}
 	t := wire.Txn{
-		Guards: []wire.Guard{b.guard(j.Class0), {Key: keyOpen + j.ID, Version: j.version}, {Key: key, Version: j.parts[key]}},
-		Then:   []wire.Op{{Key: key, Value: progress{Done: text}}}}
+		Guards: []wire.Guard{b.guard(j.GuardClass), {Key: keyJob + j.ID, Version: j.version}, {Key: key, Version: j.parts[key]}},
+		Then:   []wire.Op{{Key: key, Value: donePart{Done: text}}}}
 	b.store.Txn(prio, limits.StoreTimeout*2, t, func(r statestore.Reply) {
 		j.writing = false
 		var tr wire.TxnReply
@@ -468,42 +468,42 @@
 // Tick writes progress and completions of the jobs that this node owns, and
 // sends the waiting users' requests. may tells whether the owner may write;
 // gone whether no machine can hold tasks that have no known place.
-func (b *Book) Tick(now time.Duration, unix float64, may bool, gone func(*Job) bool) {
-	b.unix = unix
+func (b *Registry) Tick(now time.Duration, unix float64, may bool, gone func(*Job) bool) {
+	b.unixTime = unix
 	if now > b.now {
 		b.now = now
 	}
-	b.expire()
-	b.sendSubmits()
-	b.sendAsks()
-	if !may || b.now < b.nextLook {
+	b.expireLookups()
+	b.sendSubmissions()
+	b.sendLookups()
+	if !may || b.now < b.nextScan {
 		return
 	}
-	b.nextLook = b.now + limits.LookEvery
+	b.nextScan = b.now + limits.ScanInterval
 	flush := b.now >= b.nextFlush
 	if flush {
-		b.sweep()
-		b.nextFlush = b.now + limits.BatchEvery
+		b.removeOrphans()
+		b.nextFlush = b.now + limits.BatchInterval
 	}
-	b.clean()
-	defer b.done.Write()
-	for _, id := range b.ids() {
+	b.removeFinalizedRecords()
+	defer b.doneSets.Write()
+	for _, id := range b.sortedIDs() {
 		j := b.Open[id]
 		if !j.Active || j.closing || b.now < b.flushAt[id] {
 			continue
 		}
 		switch {
 		case j.Cancelled:
-			if len(j.Placed) == 0 && gone(j) && !j.writing {
-				b.close(j, "")
+			if len(j.Assigned) == 0 && gone(j) && !j.writing {
+				b.finalize(j, "")
 			}
 		case j.DoneCount == j.Tasks:
 			if !j.writing {
-				b.close(j, wire.StatusDone)
+				b.finalize(j, wire.StatusDone)
 			}
-		case flush && j.few() && len(j.dirty) > 0:
+		case flush && j.isPacked() && len(j.dirty) > 0:
 			clear(j.dirty)
-			b.done.Set(j.Class0, j.ID, j.Done.chunk(0, limits.ChunkTasks), limits.LookEvery)
+			b.doneSets.Set(j.GuardClass, j.ID, j.Done.chunk(0, limits.ChunkTasks), limits.ScanInterval)
 		case flush && !j.writing && len(j.dirty) > 0:
 			for k := 0; k*limits.ChunkTasks < j.Tasks; k++ {
 				if j.dirty[k] {
@@ -515,7 +515,7 @@
 	}
 }
 
-func (b *Book) ids() []string {
+func (b *Registry) sortedIDs() []string {
 	ids := make([]string, 0, len(b.Open))
 	for id := range b.Open {
 		ids = append(ids, id)
@@ -524,26 +524,26 @@
 	return ids
 }
 
-// close removes a job, writing its final state first unless status is empty.
+// finalize removes a job, writing its final state first unless status is empty.
 // Done against cancelled is decided here: both need fin/ID to be absent.
-func (b *Book) close(j *Job, status string) {
+func (b *Registry) finalize(j *Job, status string) {
 	j.closing = true
 	id := j.ID
-	t := wire.Txn{Guards: []wire.Guard{b.guard(j.Class0), {Key: keyOpen + id, Version: j.version}}}
+	t := wire.Txn{Guards: []wire.Guard{b.guard(j.GuardClass), {Key: keyJob + id, Version: j.version}}}
 	prio := statestore.Progress
 	if status != "" {
 		prio = statestore.Finish
 		t.Guards = append(t.Guards, wire.Guard{Key: keyFinal + id})
-		t.Then = append(t.Then, wire.Op{Key: keyFinal + id, Value: final{Status: status, Done: j.DoneCount}})
+		t.Then = append(t.Then, wire.Op{Key: keyFinal + id, Value: finalState{Status: status, Done: j.DoneCount}})
 	}
 	// The record of a small job goes later, with others': a completion costs one
 	// change while changes are scarce. Until then its done set stays, too.
-	later := status != "" && j.few() && !j.Cancelled
+	later := status != "" && j.isPacked() && !j.Cancelled
 	if !later {
-		t.Then = append(t.Then, wire.Op{Remove: keyOpen + id})
+		t.Then = append(t.Then, wire.Op{Remove: keyJob + id})
 	}
 	if j.Cancelled {
-		t.Then = append(t.Then, wire.Op{Remove: keyCancel + id})
+		t.Then = append(t.Then, wire.Op{Remove: keyCancelled + id})
 	}
 	// Parts that don't fit into the transaction are swept later: without the
 	// job they mean nothing.
@@ -558,14 +558,14 @@
 		if r.Status == statestore.OK {
 			j.closing = true
 			if status != "" {
-				b.remember(id, final{Status: status, Done: j.DoneCount})
+				b.cacheFinal(id, finalState{Status: status, Done: j.DoneCount})
 				b.log("info", "job over", "job", id, "class", j.Class, "status", status, "tasks", j.Tasks,
-					"tookS", math.Round(10*(b.unix-j.SubmitUnix))/10, "dueS", j.DeadlineS, "estimateS", j.EstimateS)
+					"tookS", math.Round(10*(b.unixTime-j.SubmitUnix))/10, "dueS", j.DeadlineS, "estimateS", j.EstimateS)
 			}
 			if later {
-				b.settled(j)
+				b.awaitRemoval(j)
 			} else {
-				b.drop(id)
+				b.forget(id)
 			}
 			return
 		}
@@ -574,62 +574,62 @@
 		if r.Status == statestore.Conflict && status != "" && wire.Decode(r.Body, &tr) == nil && slices.Contains(tr.Failed, keyFinal+id) {
 			b.store.Get(statestore.Finish, limits.PollWait, keyFinal+id, func(r statestore.Reply) {
 				var row wire.Row
-				var f final
-				if r.Status == statestore.OK && wire.Decode(r.Body, &row) == nil && wire.Decode(row.Value, &f) == nil && f.Status == wire.StatusDone && b.Open[id] == j && len(j.Placed) == 0 {
-					b.remember(id, f)
-					b.settled(j)
+				var f finalState
+				if r.Status == statestore.OK && wire.Decode(r.Body, &row) == nil && wire.Decode(row.Value, &f) == nil && f.Status == wire.StatusDone && b.Open[id] == j && len(j.Assigned) == 0 {
+					b.cacheFinal(id, f)
+					b.awaitRemoval(j)
 				}
 			})
 		}
 	})
 }
 
-// settled puts a job whose end is written aside until its record is removed.
-func (b *Book) settled(j *Job) {
+// awaitRemoval puts a job whose end is written aside until its record is removed.
+func (b *Registry) awaitRemoval(j *Job) {
 	delete(b.Open, j.ID)
 	delete(b.flushAt, j.ID)
-	b.closed[j.ID] = j
+	b.finalized[j.ID] = j
 }
 
-// clean removes the records of jobs that are over, many in one transaction. No owner's
+// removeFinalizedRecords removes the records of jobs that are over, many in one transaction. No owner's
 // guard is needed: an end that is written stays.
-func (b *Book) clean() {
-	if b.cleaning || len(b.closed) == 0 || !b.store.Spare(1) {
+func (b *Registry) removeFinalizedRecords() {
+	if b.removingFinalized || len(b.finalized) == 0 || !b.store.CanSpare(1) {
 		return
 	}
 	var t wire.Txn
-	for _, id := range slices.Sorted(maps.Keys(b.closed)) {
-		e, ok := b.store.Mirror.Get(keyOpen + id)
+	for _, id := range slices.Sorted(maps.Keys(b.finalized)) {
+		e, ok := b.store.Mirror.Get(keyJob + id)
 		if !ok {
-			delete(b.closed, id)
+			delete(b.finalized, id)
 			continue
 		}
 		if len(t.Then) < b.store.MaxWrites() {
-			t.Guards = append(t.Guards, wire.Guard{Key: keyOpen + id, Version: e.Version})
-			t.Then = append(t.Then, wire.Op{Remove: keyOpen + id})
+			t.Guards = append(t.Guards, wire.Guard{Key: keyJob + id, Version: e.Version})
+			t.Then = append(t.Then, wire.Op{Remove: keyJob + id})
 		}
 	}
 	if len(t.Then) == 0 {
 		return
 	}
-	b.cleaning = true
-	b.store.Txn(statestore.Progress, limits.StoreTimeout*2, t, func(statestore.Reply) { b.cleaning = false })
+	b.removingFinalized = true
+	b.store.Txn(statestore.Progress, limits.StoreTimeout*2, t, func(statestore.Reply) { b.removingFinalized = false })
 }
 
-// drop forgets a job that is over; its record goes with the next batch.
-func (b *Book) drop(id string) {
+// forget forgets a job that is over; its record goes with the next batch.
+func (b *Registry) forget(id string) {
 	if j := b.Open[id]; j != nil && j.launched {
-		b.stray[id] = true
+		b.orphanRecords[id] = true
 	}
 	delete(b.Open, id)
 	delete(b.flushAt, id)
 }
 
-func (b *Book) remember(id string, f final) {
+func (b *Registry) cacheFinal(id string, f finalState) {
 	if _, ok := b.finals[id]; !ok {
 		if f.Status == wire.StatusCancelled {
-			b.told[id] = b.now
-			b.news = append(b.news, id)
+			b.confirmedCancels[id] = b.now
+			b.newCancels = append(b.newCancels, id)
 			b.markCancelled(id)
 		}
 		b.finalOrder = append(b.finalOrder, id)
@@ -641,7 +641,7 @@
 	b.finals[id] = f
 }
 
-func (b *Book) markCancelled(id string) bool {
+func (b *Registry) markCancelled(id string) bool {
 	j := b.Open[id]
 	if j == nil || j.Cancelled {
 		return false
@@ -651,19 +651,19 @@
 	return true
 }
 
-// Learn takes in cancellations of which a peer knows that they are recorded. It tells
+// MergeCancellations takes in cancellations of which a peer knows that they are recorded. It tells
 // whether any of them is new to this node.
-func (b *Book) Learn(now time.Duration, ids []string) (news bool) {
+func (b *Registry) MergeCancellations(now time.Duration, ids []string) (news bool) {
 	b.now = max(b.now, now)
 	for _, id := range ids {
 		j := b.Open[id]
 		news = news || j != nil && !j.Cancelled
 		if _, ok := b.finals[id]; !ok {
-			f := final{Status: wire.StatusCancelled}
+			f := finalState{Status: wire.StatusCancelled}
 			if j != nil {
-				f.Done = max(j.DoneCount, j.shownDone)
+				f.Done = max(j.DoneCount, j.displayDone)
 			}
-			b.remember(id, f)
+			b.cacheFinal(id, f)
 		}
 		b.markCancelled(id)
 	}
@@ -672,16 +672,16 @@
 
 // Cancellations lists the cancelled jobs that this node knows of and that may still
 // have tasks, with those that it told a user of lately.
-func (b *Book) Cancellations() []string {
+func (b *Registry) Cancellations() []string {
 	var ids []string
 	for id, j := range b.Open {
-		if _, told := b.told[id]; j.Cancelled && !told {
+		if _, told := b.confirmedCancels[id]; j.Cancelled && !told {
 			ids = append(ids, id)
 		}
 	}
-	for id, at := range b.told {
-		if b.now-at > limits.ToldFor {
-			delete(b.told, id)
+	for id, at := range b.confirmedCancels {
+		if b.now-at > limits.CancelNoticeFor {
+			delete(b.confirmedCancels, id)
 			continue
 		}
 		ids = append(ids, id)
@@ -690,23 +690,23 @@
 	return ids
 }
 
-// News lists the cancellations that became known here, by an answer to a user or by a
+// TakeNewCancellations lists the cancellations that became known here, by an answer to a user or by a
 // peer, since the last call.
-func (b *Book) News() []string {
-	ids := b.news
-	b.news = nil
+func (b *Registry) TakeNewCancellations() []string {
+	ids := b.newCancels
+	b.newCancels = nil
 	return ids
 }
 
-// Shown records the counts that an owner tells, for display only.
-func (b *Book) Shown(id string, done, running int) {
+// SetDisplayCounts records the counts that an owner tells, for display only.
+func (b *Registry) SetDisplayCounts(id string, done, running int) {
 	if j := b.Open[id]; j != nil {
-		j.shownDone, j.shownRunning = done, running
+		j.displayDone, j.displayRunning = done, running
 	}
 }
 
 // Suspect records that an owner takes jobs for faulty.
-func (b *Book) Suspect(ids []string) {
+func (b *Registry) Suspect(ids []string) {
 	for _, id := range ids {
 		if j := b.Open[id]; j != nil {
 			j.Suspect = true
@@ -715,7 +715,7 @@
 }
 
 // Suspects lists the jobs that an owner took for faulty, but for those that are known.
-func (b *Book) Suspects(known []string) []string {
+func (b *Registry) Suspects(known []string) []string {
 	var ids []string
 	for id, j := range b.Open {
 		if j.Suspect && j.Faulty() && !slices.Contains(known, id) {
@@ -726,7 +726,7 @@
 	return ids
 }
 
-func (b *Book) status(id string) wire.JobStatus {
+func (b *Registry) currentStatus(id string) wire.JobStatus {
 	if f, ok := b.finals[id]; ok {
 		return wire.JobStatus{ID: id, Status: f.Status, Done: f.Done}
 	}
@@ -735,7 +735,7 @@
 		if j.Active {
 			s.Done, s.Running = j.DoneCount, j.Running()
 		} else {
-			s.Done, s.Running = max(j.DoneCount, j.shownDone), j.shownRunning
+			s.Done, s.Running = max(j.DoneCount, j.displayDone), j.displayRunning
 		}
 		if s.Running > 0 {
 			s.Status = wire.StatusRunning
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/registry_test.go
@@ -44,7 +44,7 @@
 type bench struct {
 	t     *testing.T
 	store *statestore.Store
-	book  *Book
+	book  *Registry
 	now   time.Duration
 	txns  []statestore.Call
 }
@@ -77,13 +77,13 @@
 			b.txns = append(b.txns, c)
 		}
 	}
-	for _, ch := range b.store.Mirror.Take() {
+	for _, ch := range b.store.Mirror.TakeChanges() {
 		b.book.Apply(ch)
 	}
 }
 
 func (b *bench) open(id string, tasks int, version uint64) *Job {
-	b.store.Mirror.Put(keyOpen+id, b.pack(&wire.Job{ID: id, Tasks: tasks, Types: []string{"c"}}), version)
+	b.store.Mirror.Put(keyJob+id, b.pack(&wire.Job{ID: id, Tasks: tasks, Types: []string{"c"}}), version)
 	b.tick()
 	b.txns = nil
 	return b.book.Open[id]
@@ -131,7 +131,7 @@
 		t.Errorf("%+v", txn)
 	}
 	// job-2 exists although the mirror doesn't know it yet; job-3 doesn't.
-	b.store.Reply(b.now, b.txns[0].ID, 409, b.pack(wire.TxnReply{Failed: []string{keyOpen + "job-2"}}))
+	b.store.Reply(b.now, b.txns[0].ID, 409, b.pack(wire.TxnReply{Failed: []string{keyJob + "job-2"}}))
 	for id, want := range map[string]int{"job-1": 200, "job-2": 200, "job-3": 404} {
 		if got[id].Status != want {
 			t.Errorf("%s: %d, want %d", id, got[id].Status, want)
@@ -195,7 +195,7 @@
 	if b.book.Open["job-1"] == nil {
 		t.Fatal("the job is gone although its completion was refused")
 	}
-	b.store.Mirror.Put(keyCancel+"job-1", b.pack(true), 7)
+	b.store.Mirror.Put(keyCancelled+"job-1", b.pack(true), 7)
 	b.tick()
 	b.txns = nil
 	for i := 0; i < 10 && len(b.txns) == 0; i++ {
@@ -214,17 +214,17 @@
 	b := newBench(t)
 	b.open("job-1", limits.MaxTasks, 5)
 	for k := 0; k < 7; k++ {
-		b.store.Mirror.Put(fmt.Sprintf("%sjob-1/%d", keyProgress, k), b.pack(progress{}), uint64(6+k))
+		b.store.Mirror.Put(fmt.Sprintf("%sjob-1/%d", keyLargePart, k), b.pack(donePart{}), uint64(6+k))
 	}
 	b.tick()
-	b.book.Apply(statestore.Change{Key: keyOpen + "job-1", Removed: true})
+	b.book.Apply(statestore.Change{Key: keyJob + "job-1", Removed: true})
 	removed := 0
 	for i := 0; i < 60 && removed < 7; i++ {
 		b.txns = nil
 		b.tick()
 		for _, c := range b.txns {
 			for _, op := range c.Body.(wire.Txn).Then {
-				if !strings.HasPrefix(op.Remove, keyProgress+"job-1/") {
+				if !strings.HasPrefix(op.Remove, keyLargePart+"job-1/") {
 					t.Errorf("unexpected %+v", op)
 				}
 				removed++
@@ -245,7 +245,7 @@
 		b.book.Submit(b.now, &wire.Job{ID: id, Tasks: 1}, func(x Answer) { a = x })
 		return a
 	}
-	b.store.Share(0.001, 0.001) // a change a second
+	b.store.SetShare(0.001, 0.001) // a change a second
 	n := 0
 	for ; n < 1000; n++ {
 		a := submit(fmt.Sprintf("job-%d", n))
@@ -288,7 +288,7 @@
 		for _, call := range b.txns {
 			status := 200
 			for _, op := range call.Body.(wire.Txn).Then {
-				if op.Key == keyOpen+"job-2" {
+				if op.Key == keyJob+"job-2" {
 					status = 400
 				}
 			}
--- a/internal/jobs/users.go
+++ b/internal/jobs/users.go
@@ -16,20 +16,20 @@
 	RetryAfter int
 }
 
-// Later tells a user to come back.
-func Later() Answer {
+// RetryLater tells a user to come back.
+func RetryLater() Answer {
 	return Answer{Status: 503, Body: wire.ErrorBody{Error: "try again"}, RetryAfter: limits.RetryAfterS}
 }
 
-type submit struct {
+type submission struct {
 	job     *wire.Job
 	until   time.Duration
 	answers []func(Answer)
 	alone   bool
 }
 
-// ask is a question whether a job is final, or exists at all.
-type ask struct {
+// lookup is a question whether a job is final, or exists at all.
+type lookup struct {
 	id     string
 	until  time.Duration
 	answer func(Answer)
@@ -38,12 +38,12 @@
 }
 
 // Full tells whether no more users' requests are taken.
-func (b *Book) Full() bool {
+func (b *Registry) Full() bool {
 	return b.waiting >= limits.MaxWaiting || len(b.Open) >= limits.MaxOpenJobs
 }
 
 // Known tells whether the job is certain to have been accepted.
-func (b *Book) Known(id string) bool {
+func (b *Registry) Known(id string) bool {
 	if _, ok := b.finals[id]; ok {
 		return true
 	}
@@ -51,9 +51,9 @@
 }
 
 // Submit accepts a job: one transaction makes it durable, unless it exists.
-func (b *Book) Submit(now time.Duration, job *wire.Job, answer func(Answer)) {
+func (b *Registry) Submit(now time.Duration, job *wire.Job, answer func(Answer)) {
 	b.now = max(b.now, now)
-	if s := b.byRef[job.ID]; s != nil {
+	if s := b.submissionsByID[job.ID]; s != nil {
 		s.answers = append(s.answers, answer)
 		return
 	}
@@ -63,22 +63,22 @@
 	}
 	// What can't be taken now is said at once, with the time to come back at.
 	if b.store.Unreachable() {
-		answer(Later())
+		answer(RetryLater())
 		return
 	}
 	if wait := b.store.WriteWait(statestore.User); wait > limits.SubmitHold {
 		answer(Answer{Status: 429, Body: wire.ErrorBody{Error: "the state service's budget is used up"}, RetryAfter: int(math.Ceil(wait.Seconds()))})
 		return
 	}
-	s := &submit{job: job, until: b.now + limits.SubmitWait, answers: []func(Answer){answer}}
-	b.byRef[job.ID] = s
+	s := &submission{job: job, until: b.now + limits.SubmitWait, answers: []func(Answer){answer}}
+	b.submissionsByID[job.ID] = s
 	b.waiting++
-	b.submits = append(b.submits, s)
+	b.submissions = append(b.submissions, s)
 }
 
-func (b *Book) settle(s *submit, first, rest Answer) {
-	if b.byRef[s.job.ID] == s {
-		delete(b.byRef, s.job.ID)
+func (b *Registry) respond(s *submission, first, rest Answer) {
+	if b.submissionsByID[s.job.ID] == s {
+		delete(b.submissionsByID, s.job.ID)
 	}
 	b.waiting--
 	for i, f := range s.answers {
@@ -91,27 +91,27 @@
 	s.answers = nil
 }
 
-// sendSubmits groups the waiting submissions into transactions.
-func (b *Book) sendSubmits() {
-	for len(b.submits) > 0 {
+// sendSubmissions groups the waiting submissions into transactions.
+func (b *Registry) sendSubmissions() {
+	for len(b.submissions) > 0 {
 		n := 1
-		if !b.submits[0].alone {
-			for n < len(b.submits) && n < b.store.MaxWrites() && !b.submits[n].alone {
+		if !b.submissions[0].alone {
+			for n < len(b.submissions) && n < b.store.MaxWrites() && !b.submissions[n].alone {
 				n++
 			}
 		}
-		group := b.submits[:n:n]
-		b.submits = b.submits[n:]
+		group := b.submissions[:n:n]
+		b.submissions = b.submissions[n:]
 		b.commit(group)
 	}
-	b.submits = nil
+	b.submissions = nil
 }
 
-func (b *Book) commit(group []*submit) {
+func (b *Registry) commit(group []*submission) {
 	var t wire.Txn
 	for _, s := range group {
-		t.Guards = append(t.Guards, wire.Guard{Key: keyOpen + s.job.ID}, wire.Guard{Key: keyFinal + s.job.ID})
-		t.Then = append(t.Then, wire.Op{Key: keyOpen + s.job.ID, Value: s.job})
+		t.Guards = append(t.Guards, wire.Guard{Key: keyJob + s.job.ID}, wire.Guard{Key: keyFinal + s.job.ID})
+		t.Then = append(t.Then, wire.Op{Key: keyJob + s.job.ID, Value: s.job})
 	}
 	b.store.Txn(statestore.User, limits.SubmitWait, t, func(r statestore.Reply) {
 		var tr wire.TxnReply
@@ -122,11 +122,11 @@
 				// The mirror may have it already, or even have seen it end.
 				if b.Open[s.job.ID] == nil && b.store.Mirror.Revision < tr.Revision {
 					raw, _ := wire.Encode(s.job)
-					b.store.Mirror.Put(keyOpen+s.job.ID, raw, tr.Revision)
+					b.store.Mirror.Put(keyJob+s.job.ID, raw, tr.Revision)
 				}
 				b.log("info", "job accepted", "job", s.job.ID, "team", s.job.Team, "tasks", s.job.Tasks)
 				st := wire.JobStatus{ID: s.job.ID, Status: wire.StatusPending}
-				b.settle(s, Answer{Status: 201, Body: st}, Answer{Status: 200, Body: st})
+				b.respond(s, Answer{Status: 201, Body: st}, Answer{Status: 200, Body: st})
 			}
 		case r.Status == statestore.Conflict && decoded:
 			failed := map[string]bool{}
@@ -135,57 +135,57 @@
 			}
 			for _, s := range group {
 				s := s
-				if failed[keyOpen+s.job.ID] || failed[keyFinal+s.job.ID] {
+				if failed[keyJob+s.job.ID] || failed[keyFinal+s.job.ID] {
 					// Known already: the present state, as a query would tell it.
-					b.ask(&ask{id: s.job.ID, until: s.until, answer: func(a Answer) { b.settle(s, a, a) }})
+					b.lookUp(&lookup{id: s.job.ID, until: s.until, answer: func(a Answer) { b.respond(s, a, a) }})
 				} else {
-					b.again(s)
+					b.resubmit(s)
 				}
 			}
 		case r.Status == statestore.BadRequest && len(group) > 1:
 			// Guards against one record that the state service refuses for its size or
 			// form, and with it those of all who share its transaction.
 			for _, s := range group {
-				b.again(s)
+				b.resubmit(s)
 			}
 		default:
 			// Not executed, or perhaps executed later: the user asks again, and
 			// the guards make one job of it.
 			for _, s := range group {
-				b.settle(s, Later(), Later())
+				b.respond(s, RetryLater(), RetryLater())
 			}
 		}
 	})
 }
 
-func (b *Book) again(s *submit) {
+func (b *Registry) resubmit(s *submission) {
 	if b.now >= s.until {
-		b.settle(s, Later(), Later())
+		b.respond(s, RetryLater(), RetryLater())
 		return
 	}
 	s.alone = true
-	b.submits = append(b.submits, s)
+	b.submissions = append(b.submissions, s)
 }
 
 // Query answers with a state that is no older than the question.
-func (b *Book) Query(now time.Duration, id string, answer func(Answer)) {
+func (b *Registry) Query(now time.Duration, id string, answer func(Answer)) {
 	b.now = max(b.now, now)
-	b.ask(&ask{id: id, until: b.now + limits.PollWait, answer: answer})
+	b.lookUp(&lookup{id: id, until: b.now + limits.PollWait, answer: answer})
 }
 
 // Cancel cancels a job unless it is over.
-func (b *Book) Cancel(now time.Duration, id string, answer func(Answer)) {
+func (b *Registry) Cancel(now time.Duration, id string, answer func(Answer)) {
 	b.now = max(b.now, now)
-	b.ask(&ask{id: id, until: b.now + limits.SubmitWait, answer: answer, cancel: true})
+	b.lookUp(&lookup{id: id, until: b.now + limits.SubmitWait, answer: answer, cancel: true})
 }
 
-func (b *Book) ask(a *ask) {
+func (b *Registry) lookUp(a *lookup) {
 	if f, ok := b.finals[a.id]; ok {
 		a.answer(Answer{Status: 200, Body: wire.JobStatus{ID: a.id, Status: f.Status, Done: f.Done}})
 		return
 	}
 	if b.store.Unreachable() {
-		a.answer(Later())
+		a.answer(RetryLater())
 		return
 	}
 	if b.waiting >= 2*limits.MaxWaiting {
@@ -202,39 +202,39 @@
 		}
 	}
 	a.over = func() bool { return over }
-	b.asks = append(b.asks, a)
-	b.pending = append(b.pending, a)
+	b.lookups = append(b.lookups, a)
+	b.openLookups = append(b.openLookups, a)
 }
 
-// expire answers the questions whose time is up, whether they wait or are under
+// expireLookups answers the questions whose time is up, whether they wait or are under
 // way: guards against users who hang until their own limit because one request
 // to the state service got no answer.
-func (b *Book) expire() {
-	kept := b.pending[:0]
-	for _, a := range b.pending {
+func (b *Registry) expireLookups() {
+	kept := b.openLookups[:0]
+	for _, a := range b.openLookups {
 		if !a.over() && b.now >= a.until {
-			a.answer(Later())
+			a.answer(RetryLater())
 		}
 		if !a.over() {
 			kept = append(kept, a)
 		}
 	}
-	clear(b.pending[len(kept):])
-	b.pending = kept
+	clear(b.openLookups[len(kept):])
+	b.openLookups = kept
 }
 
-// sendAsks compares the versions of many jobs' keys in one transaction that
+// sendLookups compares the versions of many jobs' keys in one transaction that
 // changes nothing: an absent final state proves that the job was not over then,
 // and absent both keys that it did not exist.
-func (b *Book) sendAsks() {
-	if b.asking || len(b.asks) == 0 {
+func (b *Registry) sendLookups() {
+	if b.lookupInFlight || len(b.lookups) == 0 {
 		return
 	}
 	var t wire.Txn
-	var group []*ask
-	for len(b.asks) > 0 && len(t.Guards)+2 <= b.store.TxnGuards {
-		a := b.asks[0]
-		b.asks = b.asks[1:]
+	var group []*lookup
+	for len(b.lookups) > 0 && len(t.Guards)+2 <= b.store.TxnGuards {
+		a := b.lookups[0]
+		b.lookups = b.lookups[1:]
 		if a.over() {
 			continue
 		}
@@ -244,20 +244,20 @@
 		}
 		t.Guards = append(t.Guards, wire.Guard{Key: keyFinal + a.id})
 		if b.Open[a.id] == nil {
-			t.Guards = append(t.Guards, wire.Guard{Key: keyOpen + a.id})
+			t.Guards = append(t.Guards, wire.Guard{Key: keyJob + a.id})
 		}
 		group = append(group, a)
 	}
 	if len(group) == 0 {
 		return
 	}
-	b.asking = true
+	b.lookupInFlight = true
 	b.store.Txn(statestore.Query, limits.PollWait, t, func(r statestore.Reply) {
-		b.asking = false
+		b.lookupInFlight = false
 		var tr wire.TxnReply
 		if (r.Status != statestore.OK && r.Status != statestore.Conflict) || wire.Decode(r.Body, &tr) != nil {
 			for _, a := range group {
-				a.answer(Later())
+				a.answer(RetryLater())
 			}
 			return
 		}
@@ -273,60 +273,60 @@
 			switch {
 			case failed[keyFinal+a.id]:
 				b.readFinal(a)
-			case asked[keyOpen+a.id] && !failed[keyOpen+a.id]:
+			case asked[keyJob+a.id] && !failed[keyJob+a.id]:
 				a.answer(Answer{Status: 404, Body: wire.ErrorBody{Error: "no such job"}})
 			case a.cancel:
 				b.readOpen(a)
 			default:
-				a.answer(Answer{Status: 200, Body: b.status(a.id)})
+				a.answer(Answer{Status: 200, Body: b.currentStatus(a.id)})
 			}
 		}
 	})
 }
 
-func (b *Book) readFinal(a *ask) {
+func (b *Registry) readFinal(a *lookup) {
 	b.store.Get(statestore.User, limits.PollWait, keyFinal+a.id, func(r statestore.Reply) {
 		var row wire.Row
-		var f final
+		var f finalState
 		if r.Status != statestore.OK || wire.Decode(r.Body, &row) != nil || wire.Decode(row.Value, &f) != nil || f.Status == "" {
-			a.answer(Later())
+			a.answer(RetryLater())
 			return
 		}
-		b.remember(a.id, f)
+		b.cacheFinal(a.id, f)
 		a.answer(Answer{Status: 200, Body: wire.JobStatus{ID: a.id, Status: f.Status, Done: f.Done}})
 	})
 }
 
 // readOpen finds the version of a job that the mirror doesn't have yet.
-func (b *Book) readOpen(a *ask) {
-	b.store.Get(statestore.User, limits.PollWait, keyOpen+a.id, func(r statestore.Reply) {
+func (b *Registry) readOpen(a *lookup) {
+	b.store.Get(statestore.User, limits.PollWait, keyJob+a.id, func(r statestore.Reply) {
 		var row wire.Row
 		if r.Status != statestore.OK || wire.Decode(r.Body, &row) != nil {
-			a.answer(Later())
+			a.answer(RetryLater())
 			return
 		}
 		b.cancel(a, row.Version)
 	})
 }
 
-func (b *Book) cancel(a *ask, version uint64) {
+func (b *Registry) cancel(a *lookup, version uint64) {
 	done := 0
 	if j := b.Open[a.id]; j != nil {
-		done = max(j.DoneCount, j.shownDone)
+		done = max(j.DoneCount, j.displayDone)
 	}
-	f := final{Status: wire.StatusCancelled, Done: done}
+	f := finalState{Status: wire.StatusCancelled, Done: done}
 	t := wire.Txn{
-		Guards: []wire.Guard{{Key: keyOpen + a.id, Version: version}, {Key: keyFinal + a.id}},
-		Then:   []wire.Op{{Key: keyFinal + a.id, Value: f}, {Key: keyCancel + a.id, Value: true}}}
+		Guards: []wire.Guard{{Key: keyJob + a.id, Version: version}, {Key: keyFinal + a.id}},
+		Then:   []wire.Op{{Key: keyFinal + a.id, Value: f}, {Key: keyCancelled + a.id, Value: true}}}
 	b.store.Txn(statestore.User, limits.SubmitWait, t, func(r statestore.Reply) {
 		switch r.Status {
 		case statestore.OK:
-			b.remember(a.id, f)
+			b.cacheFinal(a.id, f)
 			a.answer(Answer{Status: 200, Body: wire.JobStatus{ID: a.id, Status: f.Status, Done: f.Done}})
 		case statestore.Conflict:
 			b.readFinal(a)
 		default:
-			a.answer(Later())
+			a.answer(RetryLater())
 		}
 	})
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -45,32 +45,32 @@
 	// NodeLease is the life of a controller's state lease. Shorter finds a dead
 	// owner sooner; longer rides out slow renewals on a small processor share.
 	NodeLease = 3 * time.Second
-	// RenewEvery leaves three tries within one NodeLease.
-	RenewEvery = 700 * time.Millisecond
-	// PromiseLife is how long a peer's promise not to take over lasts. A
+	// RenewInterval leaves three tries within one NodeLease.
+	RenewInterval = 700 * time.Millisecond
+	// ExtensionLife is how long a peer's promise not to take over lasts. A
 	// restarted peer waits this long before it takes over from another, so it
 	// stays below NodeLease.
-	PromiseLife = 2200 * time.Millisecond
-	// PromiseEvery is how often a suspended owner asks for promises anew.
-	PromiseEvery = 500 * time.Millisecond
+	ExtensionLife = 2200 * time.Millisecond
+	// ExtensionInterval is how often a suspended owner asks for promises anew.
+	ExtensionInterval = 500 * time.Millisecond
 	// CancelMargin is kept of cancel_s, beyond a worker's lease, between the last
 	// answer that an owner gives without knowing of a cancellation and the time at
 	// which its tasks must be gone: timers, and the way to the user.
 	CancelMargin = time.Second
-	// BlindLeast is the least time for which an owner may act without news of
+	// MinStaleness is the least time for which an owner may act without news of
 	// cancellations, whatever cancel_s says: a watch without news, and its repeat.
-	BlindLeast = 2*WatchHold + 2*StoreTimeout
-	// ToldFor is for how long a node passes on a cancellation that it told a user of;
+	MinStaleness = 2*WatchHold + 2*StoreTimeout
+	// CancelNoticeFor is for how long a node passes on a cancellation that it told a user of;
 	// by then every owner has heard of it or has stopped answering.
-	ToldFor = 2 * time.Minute
+	CancelNoticeFor = 2 * time.Minute
 	// AloneAfter is how long the state service must be out of this node's reach,
 	// but in a peer's, before this node sends its users to others.
 	AloneAfter = 2 * time.Second
 	// ElectionJitter spreads the claims of candidates so that failed
 	// conditions don't use up the write budget.
 	ElectionJitter = 150 * time.Millisecond
-	// RemapEvery is how often the leader compares the mapping with the demand.
-	RemapEvery = 500 * time.Millisecond
+	// RemapInterval is how often the leader compares the mapping with the demand.
+	RemapInterval = 500 * time.Millisecond
 	// RetryClaim spaces repeated claims of the same key.
 	RetryClaim = 500 * time.Millisecond
 )
@@ -88,9 +88,9 @@
 	// WatchHold is how long a watch stays open without news; it also bounds for
 	// how long a watch that went silent stays unnoticed.
 	WatchHold = 5 * time.Second
-	// WatchPart of a node's requests may go into watches: each change of any key ends
+	// WatchShare of a node's requests may go into watches: each change of any key ends
 	// one, and what changes until the next comes with it.
-	WatchPart = 0.3
+	WatchShare = 0.3
 	// StoreInFlight bounds the requests at the state service at one time.
 	StoreInFlight = 12
 	// StoreQueue bounds the waiting requests; beyond it the stages before hold back.
@@ -117,32 +117,32 @@
 	// QueryReserve is the part of the saved-up requests that questions leave to
 	// submissions and to what the owner has to write.
 	QueryReserve = 0.3
-	// PackFill is how full a key with many records gets, as a part of the largest
-	// value; PackMost, bytes, bounds what one record's change sends again, and
-	// PackTxn the records of one transaction, which may have 64 KiB.
-	PackFill = 0.75
-	PackMost = 6 << 10
-	PackTxn  = 48 << 10
-	// PackLater is how long a record may wait that nobody waits for.
-	PackLater = time.Second
-	// PackTasks is up to how many tasks a job's done bits go with other jobs'.
-	PackTasks = 1024
+	// PageFill is how full a key with many records gets, as a part of the largest
+	// value; PageMost, bytes, bounds what one record's change sends again, and
+	// PageTxn the records of one transaction, which may have 64 KiB.
+	PageFill = 0.75
+	PageMost = 6 << 10
+	PageTxn  = 48 << 10
+	// PageDelay is how long a record may wait that nobody waits for.
+	PageDelay = time.Second
+	// PackedTasks is up to how many tasks a job's done bits go with other jobs'.
+	PackedTasks = 1024
 	// ChunkTasks is the number of tasks whose done bits share one key: 1 KiB of bits,
 	// 1.4 KiB as text, which fits a 2 KiB value. OldChunkTasks is the same for versions
 	// that read no format but the first: 2.7 KiB as text.
 	ChunkTasks    = 8192
 	OldChunkTasks = 16384
-	// BatchEvery is the pause between two writes of done bits (design).
-	BatchEvery = 2 * time.Second
-	// LookEvery is how often an owner looks through its jobs for what is to be
+	// BatchInterval is the pause between two writes of done bits (design).
+	BatchInterval = 2 * time.Second
+	// ScanInterval is how often an owner looks through its jobs for what is to be
 	// written: at every event it would take most of a small processor share.
-	LookEvery = 50 * time.Millisecond
-	// SortEvery is how long the order of jobs is kept when nothing was submitted
+	ScanInterval = 50 * time.Millisecond
+	// SortInterval is how long the order of jobs is kept when nothing was submitted
 	// or ended; only the passing of time changes it then.
-	SortEvery = 500 * time.Millisecond
-	// OfferEvery is the least time between two looks at all machines and jobs for
+	SortInterval = 500 * time.Millisecond
+	// RoundInterval is the least time between two looks at all machines and jobs for
 	// what can start; a single report's room is filled at once.
-	OfferEvery = 50 * time.Millisecond
+	RoundInterval = 50 * time.Millisecond
 	// MirrorPage is the page size when the mirror is read.
 	MirrorPage = 500
 )
@@ -165,8 +165,8 @@
 	RetryAfterS = 1
 	// MaxOpenJobs bounds unfinished jobs, and with them the memory of a node.
 	MaxOpenJobs = 20000
-	// ProgressEvery is how often an owner tells its peers the counts for display.
-	ProgressEvery = time.Second
+	// CountsInterval is how often an owner tells its peers the counts for display.
+	CountsInterval = time.Second
 )
 
 // Machines.
@@ -183,34 +183,34 @@
 	// may take to find a new owner: a refused report, a second's wait, and a
 	// report that is redirected.
 	TakeoverSlack = 2500 * time.Millisecond
-	// AskAfter, added to the slowest report interval, is from what silence on a machine is
-	// asked directly, again every AskEvery; AsksInFlight bounds that.
-	AskAfter     = 500 * time.Millisecond
-	AskEvery     = 2 * time.Second
-	AsksInFlight = 96
+	// ProbeAfter, added to the slowest report interval, is from what silence on a machine is
+	// asked directly, again every ProbeInterval; ProbesInFlight bounds that.
+	ProbeAfter     = 500 * time.Millisecond
+	ProbeInterval  = 2 * time.Second
+	ProbesInFlight = 96
 	// TakeoverHeard is the part of the machines that must have found the new
 	// owner before the others are taken for dead rather than cut off.
 	TakeoverHeard = 0.6
-	// VisitedFor is how long a worker that came to the wrong node shows that workers
+	// ForeignArrivalFor is how long a worker that came to the wrong node shows that workers
 	// reach that node.
-	VisitedFor = 3 * time.Second
-	// DesertedReports, in report intervals, and DesertedFloor are for how long an
+	ForeignArrivalFor = 3 * time.Second
+	// UnreachableReports, in report intervals, and UnreachableFloor are for how long an
 	// owner may hear no worker at all before it hands its classes over: a worker
 	// reports within a quarter more than its interval, and gives up on an answer
 	// after 4 s. It must leave the workers most of their lease to find the next.
-	DesertedReports = 1.25
-	DesertedFloor   = 4 * time.Second
+	UnreachableReports = 1.25
+	UnreachableFloor   = 4 * time.Second
 	// TakeoverPause is for how long no further machine must have found a new owner
 	// before the missing ones are taken for dead.
 	TakeoverPause = time.Second
-	// ManyLeast and ManyPart are from how many, and what part, of the ordinary
+	// MassSilenceLeast and MassSilenceShare are from how many, and what part, of the ordinary
 	// machines on a common silence is taken for a cut or a hang that may end;
-	// ManyLeases is how many leases it may last. They are waited for only if the
+	// MassSilenceLeases is how many leases it may last. They are waited for only if the
 	// cloud refused a machine of their kind within RefusedFor.
-	ManyLeast  = 3
-	ManyPart   = 0.2
-	ManyLeases = 2
-	RefusedFor = 60 * time.Second
+	MassSilenceLeast  = 3
+	MassSilenceShare  = 0.2
+	MassSilenceLeases = 2
+	RefusedFor        = 60 * time.Second
 	// BootFactor times the nominal boot time plus BootSlack: after that a
 	// booting machine is given up.
 	BootFactor = 2.0
@@ -242,29 +242,29 @@
 	RentHorizon = 60 * time.Second
 	// RentLeast is the least useful time that a machine is rented for.
 	RentLeast = 30 * time.Second
-	// EasyPart and TightPart of the time left until a job's target are what its
+	// EasyShare and TightShare of the time left until a job's target are what its
 	// work may take before spot, or ordinary, machines are rented for it. The
 	// rest is for wrong estimates and failures.
-	EasyPart  = 0.35
-	TightPart = 0.8
+	EasyShare  = 0.35
+	TightShare = 0.8
 	// MinCharge is the least time that the cloud charges for.
 	MinCharge = 60 * time.Second
-	// HireBackoff spaces rental requests after a refusal of the same kind.
-	HireBackoff = 6 * time.Second
-	// HireMost is the most machines in one request, as the protocol sets.
-	HireMost = 50
-	// FreshMost bounds the machines that one reckoning wishes for: a job of
+	// RentBackoff spaces rental requests after a refusal of the same kind.
+	RentBackoff = 6 * time.Second
+	// RentMost is the most machines in one request, as the protocol sets.
+	RentMost = 50
+	// RentalsPlanned bounds the machines that one reckoning wishes for: a job of
 	// 100,000 tasks must not be packed onto thousands of them twice a second.
-	FreshMost = 100
+	RentalsPlanned = 100
 	// DeleteMost is the most names in one deletion, as the protocol sets.
 	DeleteMost = 100
 	// CloudTimeout bounds a request to the cloud.
 	CloudTimeout = 4 * time.Second
 	// CloudBackoff spaces requests after the cloud failed.
 	CloudBackoff = time.Second
-	// ListEvery spaces machine lists; TypesEvery the price list.
-	ListEvery  = 5 * time.Second
-	TypesEvery = 30 * time.Second
+	// ListInterval spaces machine lists; TypesInterval the price list.
+	ListInterval  = 5 * time.Second
+	TypesInterval = 30 * time.Second
 	// CloudBudget is the part of the cloud's request budget used.
 	CloudBudget = 0.8
 	// StrikesOut is how many failed tasks in a row, of jobs not known to be bad,
@@ -278,18 +278,18 @@
 	// RetryBase and RetryMost bound the exponential backoff of a faulty job.
 	RetryBase = 2 * time.Second
 	RetryMost = 60 * time.Second
-	// PlanEvery is how often the need for machines is reckoned.
-	PlanEvery = 500 * time.Millisecond
-	// LogUseEvery is how often the use of CPUs is logged.
-	LogUseEvery = 5 * time.Second
-	// OrdersInFlight bounds the orders sent straight to workers at one time, and
+	// PlanInterval is how often the need for machines is reckoned.
+	PlanInterval = 500 * time.Millisecond
+	// UsageLogInterval is how often the use of CPUs is logged.
+	UsageLogInterval = 5 * time.Second
+	// DirectInFlight bounds the orders sent straight to workers at one time, and
 	// with them sockets; a machine has one at a time.
-	OrdersInFlight = 48
-	// OrderTimeout bounds one; a worker answers within milliseconds.
-	OrderTimeout = 2 * time.Second
-	// OrderSlack, added to a report interval, is from what silence on a machine is
+	DirectInFlight = 48
+	// DirectTimeout bounds one; a worker answers within milliseconds.
+	DirectTimeout = 2 * time.Second
+	// DirectSlack, added to a report interval, is from what silence on a machine is
 	// sent no orders: they would hang.
-	OrderSlack = 500 * time.Millisecond
+	DirectSlack = 500 * time.Millisecond
 	// ClearLeases is for how many leases an attempt that was launched by an order
 	// stays with the worker after its end, in case the order is carried out again.
 	ClearLeases = 4.0
@@ -312,14 +312,14 @@
 const (
 	// GangHold is from what age on room is held for a gang that fits nowhere (design).
 	GangHold = 60 * time.Second
-	// GangSpare times what gangs that should start soon have lately asked for at one time is
-	// the room that machines of theirs have, at most GangPart of all; GangMemory is in what
+	// GangReserveFactor times what gangs that should start soon have lately asked for at one time is
+	// the room that machines of theirs have, at most GangReserveMost of all; GangDemandHalfLife is in what
 	// time half of that is forgotten.
-	GangSpare  = 1.25
-	GangPart   = 0.15
-	GangMemory = 60 * time.Second
-	// ReserveEvery spaces the looks for such machines.
-	ReserveEvery = 500 * time.Millisecond
+	GangReserveFactor  = 1.25
+	GangReserveMost    = 0.15
+	GangDemandHalfLife = 60 * time.Second
+	// GangReserveInterval spaces the looks for such machines.
+	GangReserveInterval = 500 * time.Millisecond
 	// GangCompletion, beyond the fetch of its image, is how long placing and launching the
 	// missing tasks of a gang may take: two reports of a slow machine.
 	GangCompletion = 10 * time.Second
@@ -330,9 +330,9 @@
 
 // The order of work.
 const (
-	// HopefulPart of its estimate is what a task is reckoned to run at least when
+	// HopefulShare of its estimate is what a task is reckoned to run at least when
 	// it is asked whether a job can still meet a target.
-	HopefulPart = 1.0
+	HopefulShare = 1.0
 	// CrowdedFor is how long the machines would be busy with the work that can
 	// still meet a target before the least work goes first.
 	CrowdedFor = 120 * time.Second
@@ -340,18 +340,18 @@
 
 // What is borrowed beyond a guarantee and must be returned.
 const (
-	// ClaimEvery spaces the looks for what has to be returned: a start within a
+	// PreemptInterval spaces the looks for what has to be returned: a start within a
 	// guarantee may take some seconds.
-	ClaimEvery = 500 * time.Millisecond
-	// ClaimPart of the machines, beyond one, is claimed at one look at most, so that
+	PreemptInterval = 500 * time.Millisecond
+	// PreemptShare of the machines, beyond one, is claimed at one look at most, so that
 	// work which is over by itself in a moment is not all stopped.
-	ClaimPart = 0.1
-	// ClaimSlack is how long, beyond two reports and the saving, the room of a
+	PreemptShare = 0.1
+	// PreemptSlack is how long, beyond two reports and the saving, the room of a
 	// machine is kept for the job that waits for it.
-	ClaimSlack = 3 * time.Second
-	// LoanLeast is how long a task runs at least before its room is claimed: the
+	PreemptSlack = 3 * time.Second
+	// PreemptMinRun is how long a task runs at least before its room is claimed: the
 	// aims take a start that is undone sooner for none.
-	LoanLeast = 30 * time.Second
+	PreemptMinRun = 30 * time.Second
 )
 
 // Starvation: even in a crowd every job begins within four minutes.
@@ -361,17 +361,17 @@
 	// A fetch, a boot and a long task that must end first fit in the rest.
 	BeginWithin = 120 * time.Second
 	BeginTasks  = 2
-	// HoldPart is the part of the machines that may be kept free so, beyond one.
-	HoldPart = 0.02
+	// HoldShare is the part of the machines that may be kept free so, beyond one.
+	HoldShare = 0.02
 )
 
 // The process.
 const (
-	// TickEvery is the pace of the event loop's own work.
-	TickEvery = 100 * time.Millisecond
-	// SleptAfter is from what pause between two events on this process is taken to have
-	// stood still: TickEvery brings one, late on a busy processor.
-	SleptAfter = time.Second
+	// TickInterval is the pace of the event loop's own work.
+	TickInterval = 100 * time.Millisecond
+	// PauseThreshold is from what pause between two events on this process is taken to have
+	// stood still: TickInterval brings one, late on a busy processor.
+	PauseThreshold = time.Second
 	// Inbox bounds events that wait for the event loop.
 	Inbox = 1024
 	// Questions bounds users' questions that wait for the event loop. They wait for
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -8,7 +8,9 @@
 package ownership
 
 import (
+	"maps"
 	"net/url"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -28,20 +30,20 @@
 	keyFormat = statestore.Root + "format"
 )
 
-// holder is the value of keys that name a process.
-type holder struct {
+// holderRecord is the value of keys that name a process.
+type holderRecord struct {
 	Node  string `msgpack:"n"`
 	Inc   uint64 `msgpack:"i"`
 	Lease uint64 `msgpack:"l,omitempty"`
-	// Handed marks a mapping that the last owner wrote itself, by HandOver.
-	Handed bool `msgpack:"h,omitempty"`
+	// HandedOver marks a mapping that the last owner wrote itself, by Handover.
+	HandedOver bool `msgpack:"h,omitempty"`
 	// Format is the newest form of records that a node's version reads, in keyNode, and
 	// in keyFormat what every node of the service read at one time.
 	Format int `msgpack:"f,omitempty"`
 }
 
 type record struct {
-	holder
+	holderRecord
 	version uint64
 }
 
@@ -56,8 +58,8 @@
 type Node struct {
 	Name string
 	Inc  uint64
-	// Reads is the newest format that this process says it reads.
-	Reads int
+	// SupportedFormat is the newest format that this process says it reads.
+	SupportedFormat int
 
 	store  *statestore.Store
 	others []string
@@ -65,55 +67,55 @@
 	now    time.Duration
 	start  time.Duration
 
-	lease     uint64
-	leaseEnd  time.Duration
-	leasing   bool
-	nextRenew time.Duration
-
-	format int // of the records that may be written
-	leader record
-	nodes  map[string]record
-	maps   map[string]record
-	owns   map[string]record
-	last   map[string]string
-	ended  map[uint64]bool // leases of our earlier incarnations being ended
-
-	claims  map[string]*Claim
-	leaving map[string]uint64 // class -> term that is being handed over
-	// unanswered: the last renewal got no answer, and may have been executed.
-	unanswered bool
-	wish       string                   // who should follow in a handover
-	busy       map[string]time.Duration // key -> no new attempt before
-	nextRemap  time.Duration
-	jitter     time.Duration
-
-	promisedUntil time.Duration            // we claim nothing before this
-	promises      map[string]time.Duration // peers' promises to us, until
-	nextAsk       time.Duration
+	lease          uint64
+	leaseEnd       time.Duration
+	leaseRequested bool
+	nextRenew      time.Duration
+
+	format       int // of the records that may be written
+	leader       record
+	nodes        map[string]record
+	mapping      map[string]record
+	holders      map[string]record
+	lastOwners   map[string]string
+	endingLeases map[uint64]bool // leases of our earlier incarnations being ended
+
+	claims      map[string]*Claim
+	handingOver map[string]uint64 // class -> term that is being handed over
+	// renewalUnanswered: the last renewal got no answer, and may have been executed.
+	renewalUnanswered  bool
+	preferredSuccessor string                   // who should follow in a handover
+	retryAt            map[string]time.Duration // key -> no new attempt before
+	nextRemap          time.Duration
+	jitter             time.Duration
+
+	grantedUntil         time.Duration            // we claim nothing before this
+	extensions           map[string]time.Duration // peers' promises to us, until
+	nextExtensionRequest time.Duration
 
 	// What is known of cancellations that users were told: vouched is up to when each
 	// peer vouches for its own, heardOf up to when any peer knows everybody's, and
 	// Blind for how long this node may go on without knowing.
-	vouched map[string]time.Duration
-	heardOf time.Duration
-	Blind   time.Duration
+	peerCancellationsAt map[string]time.Duration
+	peerKnownThrough    time.Duration
+	MaxStaleness        time.Duration
 }
 
-// Blind is for how long an owner may answer workers without knowing of the
+// MaxStaleness is for how long an owner may answer workers without knowing of the
 // cancellations that users were told. A worker that it answers at the end of that
 // time keeps its tasks for one lease more, by its own clock.
-func Blind(cancel, lease time.Duration) time.Duration {
+func MaxStaleness(cancel, lease time.Duration) time.Duration {
 	left := cancel - time.Duration(float64(lease)*(1+limits.ClockDrift)) - limits.CancelMargin
-	return max(time.Duration(float64(left)*(1-limits.ClockDrift)), limits.BlindLeast)
+	return max(time.Duration(float64(left)*(1-limits.ClockDrift)), limits.MinStaleness)
 }
 
 // New makes the slice. inc is a random number that names this process's life, blind
 // what Blind says of the workers.
 func New(name string, others []string, inc uint64, start, blind time.Duration, store *statestore.Store, log func(string, string, ...any)) *Node {
-	return &Node{Name: name, Inc: inc, Reads: limits.RecordFormat, store: store, others: others, log: log, now: start, start: start,
-		nodes: map[string]record{}, maps: map[string]record{}, owns: map[string]record{}, last: map[string]string{},
-		ended: map[uint64]bool{}, claims: map[string]*Claim{}, leaving: map[string]uint64{}, busy: map[string]time.Duration{}, promises: map[string]time.Duration{},
-		vouched: map[string]time.Duration{}, Blind: blind,
+	return &Node{Name: name, Inc: inc, SupportedFormat: limits.RecordFormat, store: store, others: others, log: log, now: start, start: start,
+		nodes: map[string]record{}, mapping: map[string]record{}, holders: map[string]record{}, lastOwners: map[string]string{},
+		endingLeases: map[uint64]bool{}, claims: map[string]*Claim{}, handingOver: map[string]uint64{}, retryAt: map[string]time.Duration{}, extensions: map[string]time.Duration{},
+		peerCancellationsAt: map[string]time.Duration{}, MaxStaleness: blind,
 		jitter: time.Duration(inc % uint64(limits.ElectionJitter))}
 }
 
@@ -131,7 +133,7 @@
 func (n *Node) Apply(c statestore.Change) {
 	var r record
 	if !c.Removed {
-		if err := wire.Decode(c.Entry.Value, &r.holder); err != nil {
+		if err := wire.Decode(c.Entry.Value, &r.holderRecord); err != nil {
 			return
 		}
 		r.version = c.Entry.Version
@@ -155,20 +157,20 @@
 	case strings.HasPrefix(c.Key, keyNode):
 		put(n.nodes, keyNode)
 	case strings.HasPrefix(c.Key, keyMap):
-		put(n.maps, keyMap)
+		put(n.mapping, keyMap)
 	case strings.HasPrefix(c.Key, keyOwn):
-		put(n.owns, keyOwn)
+		put(n.holders, keyOwn)
 	case strings.HasPrefix(c.Key, keyLast):
 		if !c.Removed {
-			n.last[classOf(c.Key, keyLast)] = r.Node
+			n.lastOwners[classOf(c.Key, keyLast)] = r.Node
 		}
 	default:
 		return
 	}
 	// A key of our own earlier life: that process is dead for sure, so its
 	// lease need not be waited out.
-	if r.Node == n.Name && r.Inc != n.Inc && r.Lease != 0 && !n.ended[r.Lease] {
-		n.ended[r.Lease] = true
+	if r.Node == n.Name && r.Inc != n.Inc && r.Lease != 0 && !n.endingLeases[r.Lease] {
+		n.endingLeases[r.Lease] = true
 		n.endLease(r.Lease)
 	}
 }
@@ -176,11 +178,11 @@
 func (n *Node) endLease(lease uint64) {
 	n.store.EndLease(lease, func(r statestore.Reply) {
 		if r.Status != statestore.OK && r.Status != statestore.NotFound && r.Status != 204 {
-			delete(n.ended, lease)
-			for _, m := range []map[string]record{n.nodes, n.owns, {"": n.leader}} {
+			delete(n.endingLeases, lease)
+			for _, m := range []map[string]record{n.nodes, n.holders, {"": n.leader}} {
 				for _, rec := range m {
-					if rec.Lease == lease && !n.ended[lease] {
-						n.ended[lease] = true
+					if rec.Lease == lease && !n.endingLeases[lease] {
+						n.endingLeases[lease] = true
 						n.endLease(lease)
 					}
 				}
@@ -192,8 +194,8 @@
 // LeaseValid tells whether our state lease is certainly alive.
 func (n *Node) LeaseValid() bool { return n.lease != 0 && n.now < n.leaseEnd }
 
-// Leading tells whether this process is the leader.
-func (n *Node) Leading() bool {
+// IsLeader tells whether this process is the leader.
+func (n *Node) IsLeader() bool {
 	return n.leader.Node == n.Name && n.leader.Inc == n.Inc && n.LeaseValid()
 }
 
@@ -205,26 +207,26 @@
 // were recorded before, a successor waits for like any other launch.
 func (n *Node) MayLaunch() bool { return n.MayAnswer() }
 
-// KnowsUntil is up to when this node knows of every cancellation that any user was
+// CancellationsKnownThrough is up to when this node knows of every cancellation that any user was
 // told: its mirror goes that far, or that of a peer which passed on what it knows, or
 // every peer has vouched for what it told itself. A peer that forgot what its earlier
 // life told, and has not read the records since, vouches for nothing.
-func (n *Node) KnowsUntil() time.Duration {
+func (n *Node) CancellationsKnownThrough() time.Duration {
 	all := n.now
 	for _, o := range n.others {
-		all = min(all, n.vouched[o])
+		all = min(all, n.peerCancellationsAt[o])
 	}
-	return max(n.store.Mirror.Known, n.heardOf, all)
+	return max(n.store.Mirror.KnownThrough, n.peerKnownThrough, all)
 }
 
-// Vouched records that a peer, asked at sent, has told us of all cancellations that it
+// RecordPeerCancellations records that a peer, asked at sent, has told us of all cancellations that it
 // told users (all), and of all that anybody told up to behind before its answer.
-func (n *Node) Vouched(peer string, sent time.Duration, all bool, behind time.Duration) {
+func (n *Node) RecordPeerCancellations(peer string, sent time.Duration, all bool, behind time.Duration) {
 	if !all {
 		return
 	}
-	n.vouched[peer] = max(n.vouched[peer], sent)
-	n.heardOf = max(n.heardOf, sent-time.Duration(float64(behind)*(1+limits.ClockDrift)))
+	n.peerCancellationsAt[peer] = max(n.peerCancellationsAt[peer], sent)
+	n.peerKnownThrough = max(n.peerKnownThrough, sent-time.Duration(float64(behind)*(1+limits.ClockDrift)))
 }
 
 // MayAnswer tells whether an owner may answer its workers: its lease is valid,
@@ -233,7 +235,7 @@
 	// Guards against an owner that the state service refused alone, while a peer
 	// confirmed cancellations, and that went on under its peers' promises when the
 	// service was then down for all: it kept the cancelled tasks alive.
-	if n.now >= n.KnowsUntil()+n.Blind {
+	if n.now >= n.CancellationsKnownThrough()+n.MaxStaleness {
 		return false
 	}
 	if n.LeaseValid() {
@@ -243,7 +245,7 @@
 		return false
 	}
 	for _, o := range n.others {
-		if n.now+limits.LeaseMargin >= n.promises[o] {
+		if n.now+limits.LeaseMargin >= n.extensions[o] {
 			return false
 		}
 	}
@@ -252,23 +254,23 @@
 
 // ActUntil is until when an owner that may answer now may do so, as far as is known.
 func (n *Node) ActUntil() time.Duration {
-	knows := n.KnowsUntil() + n.Blind
+	knows := n.CancellationsKnownThrough() + n.MaxStaleness
 	if n.LeaseValid() {
 		return min(n.leaseEnd, knows)
 	}
-	until := min(n.now+limits.PromiseLife, knows)
+	until := min(n.now+limits.ExtensionLife, knows)
 	for _, o := range n.others {
-		until = min(until, n.promises[o]-limits.LeaseMargin)
+		until = min(until, n.extensions[o]-limits.LeaseMargin)
 	}
 	return until
 }
 
 // Owner names the node that workers of a class should report to.
 func (n *Node) Owner(class string) string {
-	if r, ok := n.owns[class]; ok {
+	if r, ok := n.holders[class]; ok {
 		return r.Node
 	}
-	if r, ok := n.maps[class]; ok {
+	if r, ok := n.mapping[class]; ok {
 		if _, alive := n.nodes[r.Node]; alive {
 			return r.Node
 		}
@@ -279,7 +281,7 @@
 // Owners counts the nodes that own classes.
 func (n *Node) Owners() map[string]bool {
 	m := map[string]bool{}
-	for _, r := range n.owns {
+	for _, r := range n.holders {
 		m[r.Node] = true
 	}
 	return m
@@ -294,10 +296,10 @@
 	return wire.Guard{Key: keyOwn + classKey(class), Version: term}
 }
 
-// AskPromise answers a peer that wishes to go on answering its workers for the
+// GrantExtension answers a peer that wishes to go on answering its workers for the
 // given classes and terms: yes if the state service is out of our reach as
 // well and nobody is known to have followed that peer. The promise holds from now.
-func (n *Node) AskPromise(now time.Duration, terms map[string]uint64) bool {
+func (n *Node) GrantExtension(now time.Duration, terms map[string]uint64) bool {
 	if now > n.now {
 		n.now = now
 	}
@@ -314,24 +316,24 @@
 	// Guards against a deposed owner that asks in an outage which began after
 	// its successor took over: the successor knows its own claim.
 	for class, term := range terms {
-		if r, ok := n.owns[class]; ok && r.version > term {
+		if r, ok := n.holders[class]; ok && r.version > term {
 			return false
 		}
 	}
-	until := n.now + limits.PromiseLife + limits.LeaseMargin
-	if until > n.promisedUntil {
-		n.promisedUntil = until
+	until := n.now + limits.ExtensionLife + limits.LeaseMargin
+	if until > n.grantedUntil {
+		n.grantedUntil = until
 	}
 	return true
 }
 
-// Promised records a peer's answer to a request that left at sent.
-func (n *Node) Promised(peer string, sent time.Duration, yes bool) {
+// RecordExtension records a peer's answer to a request that left at sent.
+func (n *Node) RecordExtension(peer string, sent time.Duration, yes bool) {
 	if !yes {
-		n.promises[peer] = 0
+		n.extensions[peer] = 0
 		return
 	}
-	n.promises[peer] = sent + time.Duration(float64(limits.PromiseLife)*(1-limits.ClockDrift))
+	n.extensions[peer] = sent + time.Duration(float64(limits.ExtensionLife)*(1-limits.ClockDrift))
 }
 
 // Terms lists the terms of our claims by class.
@@ -343,13 +345,13 @@
 	return m
 }
 
-// WantPromises tells whether peers should be asked for promises now.
-func (n *Node) WantPromises() bool {
-	blind := n.now-n.KnowsUntil() > n.Blind/2
-	if len(n.claims) == 0 || !n.store.Down() && !blind || n.now < n.nextAsk {
+// NeedsExtension tells whether peers should be asked for promises now.
+func (n *Node) NeedsExtension() bool {
+	blind := n.now-n.CancellationsKnownThrough() > n.MaxStaleness/2
+	if len(n.claims) == 0 || !n.store.Down() && !blind || n.now < n.nextExtensionRequest {
 		return false
 	}
-	n.nextAsk = n.now + limits.PromiseEvery
+	n.nextExtensionRequest = n.now + limits.ExtensionInterval
 	return true
 }
 
@@ -372,8 +374,8 @@
 	}
 	n.announce()
 	n.elect()
-	if n.Leading() && n.now >= n.nextRemap && len(classes) > 0 {
-		n.nextRemap = n.now + limits.RemapEvery
+	if n.IsLeader() && n.now >= n.nextRemap && len(classes) > 0 {
+		n.nextRemap = n.now + limits.RemapInterval
 		n.remap(classes, demand())
 		n.raiseFormat()
 	}
@@ -381,18 +383,18 @@
 }
 
 func (n *Node) keepLease() {
-	if n.leasing || n.now < n.nextRenew {
+	if n.leaseRequested || n.now < n.nextRenew {
 		return
 	}
-	n.leasing = true
-	n.nextRenew = n.now + limits.RenewEvery
+	n.leaseRequested = true
+	n.nextRenew = n.now + limits.RenewInterval
 	if n.lease == 0 {
 		n.store.NewLease(limits.NodeLease, func(r statestore.Reply) {
-			n.leasing = false
+			n.leaseRequested = false
 			var l wire.LeaseReply
 			if r.Status == statestore.OK && wire.Decode(r.Body, &l) == nil && l.Lease != 0 {
 				n.lease = l.Lease
-				n.extend(r.SentAt)
+				n.extendLease(r.SentAt)
 			}
 		})
 		return
@@ -400,25 +402,25 @@
 	// Guards against a node that the state service hears but that gets no answers:
 	// its renewals kept alive a lease under which it dared not act, so nobody did.
 	// Once the lease may be over it asks before it renews.
-	if n.unanswered && !n.LeaseValid() {
+	if n.renewalUnanswered && !n.LeaseValid() {
 		n.store.Get(statestore.Lease, limits.StoreTimeout, keyLeader, func(r statestore.Reply) {
-			n.leasing = false
+			n.leaseRequested = false
 			if r.Status == statestore.OK || r.Status == statestore.NotFound {
-				n.unanswered, n.nextRenew = false, 0
+				n.renewalUnanswered, n.nextRenew = false, 0
 			}
 		})
 		return
 	}
 	lease := n.lease
 	n.store.Renew(lease, func(r statestore.Reply) {
-		n.leasing = false
-		n.unanswered = r.Status == statestore.NoAnswer
+		n.leaseRequested = false
+		n.renewalUnanswered = r.Status == statestore.NoAnswer
 		if lease != n.lease {
 			return
 		}
 		switch r.Status {
 		case statestore.OK:
-			n.extend(r.SentAt)
+			n.extendLease(r.SentAt)
 		case statestore.NotFound:
 			n.log("info", "state lease lost", "lease", lease)
 			n.lease, n.leaseEnd, n.nextRenew = 0, 0, 0
@@ -427,7 +429,7 @@
 	})
 }
 
-func (n *Node) extend(sent time.Duration) {
+func (n *Node) extendLease(sent time.Duration) {
 	end := sent + time.Duration(float64(limits.NodeLease)*(1-limits.ClockDrift)) - limits.LeaseMargin
 	if end > n.leaseEnd {
 		n.leaseEnd = end
@@ -441,16 +443,16 @@
 	}
 }
 
-// mine tells whether a record is attached to our present lease.
-func (n *Node) mine(r record) bool {
+// isOurs tells whether a record is attached to our present lease.
+func (n *Node) isOurs(r record) bool {
 	return r.Node == n.Name && r.Inc == n.Inc && r.Lease == n.lease && n.lease != 0
 }
 
 // followClaims makes the claims match the mirror.
 func (n *Node) followClaims() {
 	for class, c := range n.claims {
-		r, ok := n.owns[class]
-		if !ok || !n.mine(r) || r.version != c.Term || n.maps[class].Node != n.Name {
+		r, ok := n.holders[class]
+		if !ok || !n.isOurs(r) || r.version != c.Term || n.mapping[class].Node != n.Name {
 			n.log("info", "class given up", "class", class, "term", c.Term)
 			delete(n.claims, class)
 		}
@@ -459,25 +461,26 @@
 		return
 	}
 	var handed []string
-	for class, r := range n.owns {
-		if !n.mine(r) || n.claims[class] != nil {
+	for _, class := range slices.Sorted(maps.Keys(n.holders)) {
+		r := n.holders[class]
+		if !n.isOurs(r) || n.claims[class] != nil {
 			continue
 		}
-		if n.maps[class].Node != n.Name {
-			n.try(keyOwn+class, wire.Txn{
+		if n.mapping[class].Node != n.Name {
+			n.submit(keyOwn+class, wire.Txn{
 				Guards: []wire.Guard{{Key: keyOwn + classKey(class), Version: r.version}},
 				Then:   []wire.Op{{Remove: keyOwn + classKey(class)}}})
 			continue
 		}
 		// A term that was handed over is never acted on again, whatever came of
 		// the transaction: orders of ours may still be carried out under it.
-		if n.leaving[class] == r.version {
+		if n.handingOver[class] == r.version {
 			handed = append(handed, class)
 			continue
 		}
 		// A peer that holds our promise, or may hold one of an earlier life
 		// of ours, can still be answering the workers.
-		if n.now < n.promisedUntil || !n.pastOldPromises(class) {
+		if n.now < n.grantedUntil || !n.pastEarlierGrants(class) {
 			continue
 		}
 		n.claims[class] = &Claim{Class: class, Term: r.version, Since: n.now}
@@ -497,25 +500,25 @@
 	var t wire.Txn
 	for _, class := range classes[:min(len(classes), max(1, n.store.MaxWrites()/2))] {
 		own, key := keyOwn+classKey(class), keyMap+classKey(class)
-		t.Guards = append(t.Guards, wire.Guard{Key: own, Version: n.owns[class].version}, wire.Guard{Key: key, Version: n.maps[class].version})
-		t.Then = append(t.Then, wire.Op{Remove: own}, wire.Op{Key: key, Value: holder{Node: next, Handed: true}})
+		t.Guards = append(t.Guards, wire.Guard{Key: own, Version: n.holders[class].version}, wire.Guard{Key: key, Version: n.mapping[class].version})
+		t.Then = append(t.Then, wire.Op{Remove: own}, wire.Op{Key: key, Value: holderRecord{Node: next, HandedOver: true}})
 	}
-	n.try("release", t)
+	n.submit("release", t)
 }
 
-// HandOver gives all classes to another node, for an owner that its workers
+// Handover gives all classes to another node, for an owner that its workers
 // can't reach: it stops acting in this step, and names its successor itself, since
 // the leader sees nothing wrong with it. wish is the node that workers reach, or
 // empty if none is known.
-func (n *Node) HandOver(wish string) {
-	n.wish = wish
+func (n *Node) Handover(wish string) {
+	n.preferredSuccessor = wish
 	next := n.successor()
 	if next == "" || !n.LeaseValid() {
 		return
 	}
 	for class, c := range n.claims {
 		n.log("info", "class handed over", "class", class, "term", c.Term, "to", next)
-		n.leaving[class] = c.Term
+		n.handingOver[class] = c.Term
 	}
 	n.dropClaims()
 }
@@ -523,8 +526,8 @@
 // successor is the live node that workers reach, if one is known, else the one that
 // follows this one in the order of names.
 func (n *Node) successor() string {
-	if _, alive := n.nodes[n.wish]; alive && n.wish != n.Name {
-		return n.wish
+	if _, alive := n.nodes[n.preferredSuccessor]; alive && n.preferredSuccessor != n.Name {
+		return n.preferredSuccessor
 	}
 	first, next := "", ""
 	for name := range n.nodes {
@@ -544,50 +547,52 @@
 	return next
 }
 
-// pastOldPromises tells whether promises given before a restart are over, or
+// pastEarlierGrants tells whether promises given before a restart are over, or
 // can't concern the class since its last owner was this node itself.
-func (n *Node) pastOldPromises(class string) bool {
-	return n.now >= n.start+limits.PromiseLife+2*limits.LeaseMargin || n.last[class] == n.Name
+func (n *Node) pastEarlierGrants(class string) bool {
+	return n.now >= n.start+limits.ExtensionLife+2*limits.LeaseMargin || n.lastOwners[class] == n.Name
 }
 
-func (n *Node) self() holder { return holder{Node: n.Name, Inc: n.Inc, Lease: n.lease} }
+func (n *Node) ownRecord() holderRecord {
+	return holderRecord{Node: n.Name, Inc: n.Inc, Lease: n.lease}
+}
 
-// try sends a transaction about a key, unless one was sent just before.
-func (n *Node) try(key string, t wire.Txn) {
-	if n.now < n.busy[key] {
+// submit sends a transaction about a key, unless one was sent just before.
+func (n *Node) submit(key string, t wire.Txn) {
+	if n.now < n.retryAt[key] {
 		return
 	}
-	n.busy[key] = n.now + limits.RetryClaim
+	n.retryAt[key] = n.now + limits.RetryClaim
 	n.store.Txn(statestore.Lease, limits.StoreTimeout, t, func(r statestore.Reply) {
 		// The mirror tells the outcome; a refusal may be tried again at once.
 		if r.Refused() {
-			n.busy[key] = n.now + limits.StoreBackoff
+			n.retryAt[key] = n.now + limits.StoreBackoff
 		}
 	})
 }
 
 func (n *Node) announce() {
-	if r, ok := n.nodes[n.Name]; !ok || !n.mine(r) {
+	if r, ok := n.nodes[n.Name]; !ok || !n.isOurs(r) {
 		key := keyNode + classKey(n.Name)
 		var v uint64
 		if ok {
 			v = r.version
 		}
-		me := n.self()
-		me.Format = n.Reads
-		n.try(key, wire.Txn{Guards: []wire.Guard{{Key: key, Version: v}}, Then: []wire.Op{{Key: key, Value: me, Lease: n.lease}}})
+		me := n.ownRecord()
+		me.Format = n.SupportedFormat
+		n.submit(key, wire.Txn{Guards: []wire.Guard{{Key: key, Version: v}}, Then: []wire.Op{{Key: key, Value: me, Lease: n.lease}}})
 	}
 }
 
 func (n *Node) elect() {
 	if n.leader.Node != "" {
-		n.busy["elect"] = n.now + n.jitter
+		n.retryAt["elect"] = n.now + n.jitter
 		return
 	}
-	if n.now < n.busy["elect"] {
+	if n.now < n.retryAt["elect"] {
 		return
 	}
-	n.try(keyLeader, wire.Txn{Guards: []wire.Guard{{Key: keyLeader}}, Then: []wire.Op{{Key: keyLeader, Value: n.self(), Lease: n.lease}}})
+	n.submit(keyLeader, wire.Txn{Guards: []wire.Guard{{Key: keyLeader}}, Then: []wire.Op{{Key: keyLeader, Value: n.ownRecord(), Lease: n.lease}}})
 }
 
 // remap writes the mapping where it differs from what it should be.
@@ -598,18 +603,18 @@
 	}
 	owner := map[string]string{}
 	all := append([]string(nil), classes...)
-	for c, r := range n.maps {
+	for c, r := range n.mapping {
 		owner[c] = r.Node
 		all = append(all, c)
 		// After all nodes have ended, the last owner need not wait for promises of
 		// earlier lives, and everybody else must: as long as nobody has claimed the
 		// class, it is the last owner's again once that is back. Not if that has
 		// just handed it over.
-		if last := n.last[c]; alive[last] && !r.Handed {
+		if last := n.lastOwners[c]; alive[last] && !r.HandedOver {
 			owner[c] = last
 		}
 	}
-	for c, r := range n.owns {
+	for c, r := range n.holders {
 		owner[c] = r.Node
 	}
 	want := Assign(RDUCs(d), all, owner, alive, n.Name)
@@ -620,15 +625,15 @@
 	sort.Strings(names)
 	t := wire.Txn{Guards: []wire.Guard{{Key: keyLeader, Version: n.leader.version}}}
 	for _, c := range names {
-		if n.maps[c].Node != want[c] && len(t.Then) < n.store.MaxWrites() {
+		if n.mapping[c].Node != want[c] && len(t.Then) < n.store.MaxWrites() {
 			key := keyMap + classKey(c)
-			t.Guards = append(t.Guards, wire.Guard{Key: key, Version: n.maps[c].version})
-			t.Then = append(t.Then, wire.Op{Key: key, Value: holder{Node: want[c]}})
-			n.log("info", "class mapped", "class", c, "owner", want[c], "before", n.maps[c].Node)
+			t.Guards = append(t.Guards, wire.Guard{Key: key, Version: n.mapping[c].version})
+			t.Then = append(t.Then, wire.Op{Key: key, Value: holderRecord{Node: want[c]}})
+			n.log("info", "class mapped", "class", c, "owner", want[c], "before", n.mapping[c].Node)
 		}
 	}
 	if len(t.Then) > 0 {
-		n.try("remap", t)
+		n.submit("remap", t)
 	}
 }
 
@@ -649,22 +654,22 @@
 		}
 	}
 	e, _ := n.store.Mirror.Get(keyFormat)
-	n.try(keyFormat, wire.Txn{Guards: []wire.Guard{{Key: keyLeader, Version: n.leader.version}, {Key: keyFormat, Version: e.Version}},
-		Then: []wire.Op{{Key: keyFormat, Value: holder{Format: limits.RecordFormat}}}})
+	n.submit(keyFormat, wire.Txn{Guards: []wire.Guard{{Key: keyLeader, Version: n.leader.version}, {Key: keyFormat, Version: e.Version}},
+		Then: []wire.Op{{Key: keyFormat, Value: holderRecord{Format: limits.RecordFormat}}}})
 }
 
 // claim asks for the classes that are mapped to us and held by nobody. The last
 // owner is written along, for pastOldPromises.
 func (n *Node) claim() {
-	names := make([]string, 0, len(n.maps))
-	for c := range n.maps {
+	names := make([]string, 0, len(n.mapping))
+	for c := range n.mapping {
 		names = append(names, c)
 	}
 	sort.Strings(names)
 	var t wire.Txn
 	for _, c := range names {
-		m := n.maps[c]
-		if _, held := n.owns[c]; held || m.Node != n.Name || !n.pastOldPromises(c) || n.now < n.promisedUntil {
+		m := n.mapping[c]
+		if _, held := n.holders[c]; held || m.Node != n.Name || !n.pastEarlierGrants(c) || n.now < n.grantedUntil {
 			continue
 		}
 		if len(t.Then)+2 > n.store.TxnOps {
@@ -672,12 +677,12 @@
 		}
 		key := keyOwn + classKey(c)
 		t.Guards = append(t.Guards, wire.Guard{Key: key}, wire.Guard{Key: keyMap + classKey(c), Version: m.version})
-		t.Then = append(t.Then, wire.Op{Key: key, Value: n.self(), Lease: n.lease})
-		if n.last[c] != n.Name {
-			t.Then = append(t.Then, wire.Op{Key: keyLast + classKey(c), Value: holder{Node: n.Name}})
+		t.Then = append(t.Then, wire.Op{Key: key, Value: n.ownRecord(), Lease: n.lease})
+		if n.lastOwners[c] != n.Name {
+			t.Then = append(t.Then, wire.Op{Key: keyLast + classKey(c), Value: holderRecord{Node: n.Name}})
 		}
 	}
 	if len(t.Then) > 0 {
-		n.try("claim", t)
+		n.submit("claim", t)
 	}
 }
--- a/internal/statestore/mirror.go
+++ b/internal/statestore/mirror.go
@@ -29,28 +29,28 @@
 
 // Mirror follows every key under Root: it reads them once and then watches.
 type Mirror struct {
-	s        *Store
+	store    *Store
 	keys     map[string]Entry
 	Revision uint64
 	Loaded   bool
-	// Known is the time, at which a request left, up to which every change is in the
+	// KnownThrough is the time, at which a request left, up to which every change is in the
 	// mirror.
-	Known   time.Duration
-	busy    bool
-	retryAt time.Duration
-	openAt  time.Duration // no new watch before this
-	load    *loading
-	changes []Change
+	KnownThrough    time.Duration
+	requestInFlight bool
+	retryAt         time.Duration
+	nextWatch       time.Duration // no new watch before this
+	loading         *initialRead
+	changes         []Change
 }
 
-type loading struct {
+type initialRead struct {
 	seen     map[string]bool
 	revision uint64
 	since    string
 	began    time.Duration // when the first page was asked for
 }
 
-func newMirror(s *Store) *Mirror { return &Mirror{s: s, keys: map[string]Entry{}} }
+func newMirror(s *Store) *Mirror { return &Mirror{store: s, keys: map[string]Entry{}} }
 
 // Get reads a mirrored key.
 func (m *Mirror) Get(key string) (Entry, bool) {
@@ -58,8 +58,8 @@
 	return e, ok
 }
 
-// Take returns the changes since the last call.
-func (m *Mirror) Take() []Change {
+// TakeChanges returns the changes since the last call.
+func (m *Mirror) TakeChanges() []Change {
 	c := m.changes
 	m.changes = nil
 	return c
@@ -86,40 +86,40 @@
 }
 
 func (m *Mirror) tick() {
-	watching := m.Loaded && m.load == nil
-	if m.busy || m.s.now < m.retryAt || (watching && m.s.now < m.openAt) {
+	watching := m.Loaded && m.loading == nil
+	if m.requestInFlight || m.store.now < m.retryAt || (watching && m.store.now < m.nextWatch) {
 		return
 	}
-	m.busy = true
+	m.requestInFlight = true
 	if !watching {
-		if m.load == nil {
-			m.load = &loading{seen: map[string]bool{}}
+		if m.loading == nil {
+			m.loading = &initialRead{seen: map[string]bool{}}
 		}
-		m.s.List(Lease, Root, m.load.since, m.listed)
+		m.store.List(Lease, Root, m.loading.since, m.pageRead)
 		return
 	}
 	// Guards against watches that used up the requests of a node: each change of
 	// any key ends one, and there may be more changes than this node has requests.
-	m.openAt = m.s.now + time.Duration(float64(time.Second)/(limits.WatchPart*m.s.reqs.rate))
+	m.nextWatch = m.store.now + time.Duration(float64(time.Second)/(limits.WatchShare*m.store.requestBucket.rate))
 	hold := limits.WatchHold
 	path := fmt.Sprintf("/watch?starts=%s&since=%d&holdMs=%d", url.QueryEscape(Root), m.Revision, hold.Milliseconds())
-	m.s.reqs.level--
-	m.s.send(&request{method: "GET", path: path, done: m.watched}, hold+limits.StoreTimeout)
+	m.store.requestBucket.level--
+	m.store.send(&request{method: "GET", path: path, done: m.watchAnswered}, hold+limits.StoreTimeout)
 }
 
-func (m *Mirror) fail() {
-	m.busy = false
-	m.retryAt = m.s.now + limits.StoreBackoff
+func (m *Mirror) retryLater() {
+	m.requestInFlight = false
+	m.retryAt = m.store.now + limits.StoreBackoff
 }
 
-func (m *Mirror) listed(r Reply) {
+func (m *Mirror) pageRead(r Reply) {
 	var rows wire.Rows
 	if r.Status != OK || wire.Decode(r.Body, &rows) != nil {
-		m.fail()
+		m.retryLater()
 		return
 	}
-	m.busy = false
-	l := m.load
+	m.requestInFlight = false
+	l := m.loading
 	if l.since == "" {
 		// The watch starts from the first page's revision: what changes while
 		// the later pages are read is told again, and versions sort it out.
@@ -139,23 +139,23 @@
 		}
 	}
 	m.Revision = l.revision
-	m.Known = max(m.Known, l.began)
-	m.load = nil
+	m.KnownThrough = max(m.KnownThrough, l.began)
+	m.loading = nil
 	m.Loaded = true
 }
 
-func (m *Mirror) watched(r Reply) {
+func (m *Mirror) watchAnswered(r Reply) {
 	if r.Status == 410 {
-		m.busy = false
-		m.load = &loading{seen: map[string]bool{}}
+		m.requestInFlight = false
+		m.loading = &initialRead{seen: map[string]bool{}}
 		return
 	}
 	var w wire.Watched
 	if r.Status != OK || wire.Decode(r.Body, &w) != nil {
-		m.fail()
+		m.retryLater()
 		return
 	}
-	m.busy = false
+	m.requestInFlight = false
 	for _, e := range w.Events {
 		if e.Put != "" {
 			m.set(e.Put, Entry{e.Value, e.Version})
@@ -166,7 +166,7 @@
 	if w.Revision > m.Revision {
 		m.Revision = w.Revision
 	}
-	m.Known = max(m.Known, r.SentAt)
+	m.KnownThrough = max(m.KnownThrough, r.SentAt)
 }
 
 // Put enters a key that this node has just written, ahead of the watch.
--- a/internal/statestore/pack_test.go
+++ b/internal/statestore/record_table_test.go
@@ -26,7 +26,7 @@
 // shelf is a pack at a state service that may lose answers.
 type shelf struct {
 	s       *Store
-	p       *Pack
+	p       *RecordTable
 	now     time.Duration
 	known   map[string]string // as told to the pack's user
 	keys    map[string][]byte // as the state service has them
@@ -39,7 +39,7 @@
 
 func newShelf(t interface{ Fatalf(string, ...any) }) *shelf {
 	h := &shelf{s: New(1000, 1000, 8, 4), known: map[string]string{}, keys: map[string][]byte{}, version: map[string]uint64{}, rev: 10, term: 3, limit: 4096}
-	h.p = NewPack(h.s, "u/x/", func(class string) wire.Guard { return wire.Guard{Key: "u/own/" + class, Version: h.term} },
+	h.p = NewRecordTable(h.s, "u/x/", func(class string) wire.Guard { return wire.Guard{Key: "u/own/" + class, Version: h.term} },
 		func(id, class string, v msgpack.RawMessage, gone bool) {
 			var text string
 			if gone {
@@ -50,7 +50,7 @@
 				h.known[id] = class + ":" + text
 			}
 		})
-	h.s.Mirror.Loaded, h.s.Mirror.busy = true, true // the test plays the watch
+	h.s.Mirror.Loaded, h.s.Mirror.requestInFlight = true, true // the test plays the watch
 	return h
 }
 
@@ -103,7 +103,7 @@
 	for key, raw := range h.keys { // the watch
 		h.s.Mirror.Put(key, raw, h.version[key])
 	}
-	for _, c := range h.s.Mirror.Take() {
+	for _, c := range h.s.Mirror.TakeChanges() {
 		h.p.Apply(c)
 	}
 }
@@ -160,7 +160,7 @@
 		for i := 0; i < 4; i++ {
 			h.step(t, func() int { return 0 })
 		}
-		h.p.room, h.s.TxnOps, h.limit = 768, 4, 1024
+		h.p.pageBytes, h.s.TxnOps, h.limit = 768, 4, 1024
 		for i := rapid.IntRange(1, 30).Draw(t, "steps"); i > 0; i-- {
 			if n := rapid.IntRange(0, 250).Draw(t, "id"); rapid.IntRange(0, 3).Draw(t, "what") == 0 {
 				id := fmt.Sprintf("i-%06d", n)
@@ -219,8 +219,8 @@
 // a submission wait.
 func TestUsersGoBeforeBatches(t *testing.T) {
 	s := New(150, 20, 8, 4)
-	s.Mirror.busy = true
-	s.Share(0.2, 0.2)
+	s.Mirror.requestInFlight = true
+	s.SetShare(0.2, 0.2)
 	s.Tick(time.Second)
 	for i := 0; i < 50; i++ {
 		s.Txn(Progress, 0, wire.Txn{Then: []wire.Op{{Key: "x"}}}, func(Reply) {})
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -74,83 +74,83 @@
 	done   func(Reply)
 }
 
-type flight struct {
+type inFlight struct {
 	req  *request
 	sent time.Duration
 }
 
-// bucket is a token bucket on injected time.
-type bucket struct {
-	rate, level, most float64
-	last              time.Duration
+// tokenBucket is a token bucket on injected time.
+type tokenBucket struct {
+	rate, level, capacity float64
+	last                  time.Duration
 }
 
-func (b *bucket) fill(now time.Duration) {
+func (b *tokenBucket) fill(now time.Duration) {
 	if now > b.last {
-		b.level = min(b.most, b.level+b.rate*(now-b.last).Seconds())
+		b.level = min(b.capacity, b.level+b.rate*(now-b.last).Seconds())
 		b.last = now
 	}
 }
 
 // Store is the client's state.
 type Store struct {
-	now       time.Duration
-	rps, wps  float64
-	next      float64       // changes a second that the service may go over to; 0: none
-	slower    time.Duration // until when next is held to
-	parts     [2]float64    // of requests and of changes that are this node's
-	reqs      bucket
-	writes    bucket
-	queues    [priorities][]*request
-	queued    int
-	flights   map[uint64]*flight
-	nextID    uint64
-	pause     time.Duration // no ordinary requests before this
-	saving    bool          // changes are saved up for a transaction of a higher priority
-	out       []Call
-	LastOK    time.Duration // when the last answered request was sent
-	LastFail  time.Duration
-	Mirror    *Mirror
-	TxnOps    int
-	TxnGuards int
+	now           time.Duration
+	rps, writeRPS float64
+	reducedRate   float64       // changes a second that the service may go over to; 0: none
+	reducedUntil  time.Duration // until when next is held to
+	shares        [2]float64    // of requests and of changes that are this node's
+	requestBucket tokenBucket
+	writeBucket   tokenBucket
+	queues        [priorities][]*request
+	queued        int
+	inFlight      map[uint64]*inFlight
+	nextID        uint64
+	pausedUntil   time.Duration // no ordinary requests before this
+	savingUp      bool          // changes are saved up for a transaction of a higher priority
+	out           []Call
+	LastOK        time.Duration // when the last answered request was sent
+	LastFail      time.Duration
+	Mirror        *Mirror
+	TxnOps        int
+	TxnGuards     int
 	// ValueBytes is the most bytes of a value.
 	ValueBytes float64
 }
 
 // New makes a client with the whole deployment's budget; Share sets its part.
 func New(rps, writeRPS float64, txnOps int, valueKB float64) *Store {
-	s := &Store{rps: rps, wps: writeRPS, flights: map[uint64]*flight{}, TxnOps: txnOps, TxnGuards: 4 * txnOps, ValueBytes: valueKB * 1024}
-	s.Share(1.0/3, 1.0/3)
-	s.reqs.level, s.writes.level = s.reqs.most, s.writes.most
+	s := &Store{rps: rps, writeRPS: writeRPS, inFlight: map[uint64]*inFlight{}, TxnOps: txnOps, TxnGuards: 4 * txnOps, ValueBytes: valueKB * 1024}
+	s.SetShare(1.0/3, 1.0/3)
+	s.requestBucket.level, s.writeBucket.level = s.requestBucket.capacity, s.writeBucket.capacity
 	s.Mirror = newMirror(s)
 	return s
 }
 
-// NextWrites tells of another budget of changes, for which the service may exchange the
+// AnnounceWriteRate tells of another budget of changes, for which the service may exchange the
 // present one at any moment. Whether it has shows when it refuses some.
-func (s *Store) NextWrites(rate float64) { s.next = rate }
-
-// Share sets which parts of the budgets of requests and of changes this node may use.
-func (s *Store) Share(requests, changes float64) {
-	s.parts = [2]float64{requests, changes}
-	wps := s.wps
-	if s.next > 0 && s.now < s.slower {
-		wps = min(wps, s.next)
+func (s *Store) AnnounceWriteRate(rate float64) { s.reducedRate = rate }
+
+// SetShare sets which parts of the budgets of requests and of changes this node may use.
+func (s *Store) SetShare(requests, changes float64) {
+	s.shares = [2]float64{requests, changes}
+	wps := s.writeRPS
+	if s.reducedRate > 0 && s.now < s.reducedUntil {
+		wps = min(wps, s.reducedRate)
 	}
-	s.reqs.rate = max(3, s.rps*requests*limits.BudgetUse)
-	s.writes.rate = max(1, wps*changes*limits.BudgetUse)
+	s.requestBucket.rate = max(3, s.rps*requests*limits.BudgetUse)
+	s.writeBucket.rate = max(1, wps*changes*limits.BudgetUse)
 	// Bursts seldom come to all nodes at once, and the service allows a second's
 	// worth: a node may save up more than its part of that.
-	s.reqs.most = max(s.reqs.rate, s.rps*limits.BurstUse)
-	s.writes.most = max(s.writes.rate, wps*limits.BurstUse)
+	s.requestBucket.capacity = max(s.requestBucket.rate, s.rps*limits.BurstUse)
+	s.writeBucket.capacity = max(s.writeBucket.rate, wps*limits.BurstUse)
 }
 
 // MaxWrites is the most changes that one transaction of this node may hold, now and after
 // an announced change of the budget.
 func (s *Store) MaxWrites() int {
-	most := s.writes.most
-	if s.next > 0 {
-		most = min(most, max(1, s.next*limits.BurstUse))
+	most := s.writeBucket.capacity
+	if s.reducedRate > 0 {
+		most = min(most, max(1, s.reducedRate*limits.BurstUse))
 	}
 	return max(1, min(s.TxnOps, int(most)))
 }
@@ -182,7 +182,7 @@
 
 // Renew renews a lease. It is never retried from the queue: a late renewal is worth less than a new one.
 func (s *Store) Renew(lease uint64, done func(Reply)) {
-	s.add(&request{prio: Lease, method: "POST", path: fmt.Sprintf("/leases/%d/renew", lease), until: s.until(limits.RenewEvery), done: done})
+	s.add(&request{prio: Lease, method: "POST", path: fmt.Sprintf("/leases/%d/renew", lease), until: s.until(limits.RenewInterval), done: done})
 }
 
 // EndLease ends a lease at once.
@@ -216,19 +216,19 @@
 	if now > s.now {
 		s.now = now
 	}
-	s.reqs.fill(now)
-	s.writes.fill(now)
+	s.requestBucket.fill(now)
+	s.writeBucket.fill(now)
 	s.Mirror.tick()
-	s.saving = false
+	s.savingUp = false
 	for p := range s.queues {
-		s.pump(Priority(p))
+		s.sendQueued(Priority(p))
 	}
 	out := s.out
 	s.out = nil
 	return out
 }
 
-func (s *Store) pump(p Priority) {
+func (s *Store) sendQueued(p Priority) {
 	q := s.queues[p]
 	kept := q[:0:0]
 	for i, r := range q {
@@ -240,18 +240,18 @@
 		urgent := p == Lease
 		// A transaction larger than the burst could wait for ever: a full
 		// bucket lets it go and takes on the debt.
-		need := min(float64(r.writes)+s.writes.most*reserve[p], s.writes.most)
-		short := r.writes > 0 && (s.saving || s.writes.level < need)
-		if !urgent && (s.now < s.pause || len(s.flights) >= limits.StoreInFlight || s.reqs.level < 1+s.reqs.most*requestReserve[p] || short) {
+		need := min(float64(r.writes)+s.writeBucket.capacity*reserve[p], s.writeBucket.capacity)
+		short := r.writes > 0 && (s.savingUp || s.writeBucket.level < need)
+		if !urgent && (s.now < s.pausedUntil || len(s.inFlight) >= limits.StoreInFlight || s.requestBucket.level < 1+s.requestBucket.capacity*requestReserve[p] || short) {
 			// Guards against records that hundreds of jobs and all new machines waited
 			// for: completions, one change each, took every change before the several
 			// that such a transaction needs had come together.
-			s.saving = s.saving || short && p != Progress
+			s.savingUp = s.savingUp || short && p != Progress
 			kept = append(kept, q[i:]...)
 			break
 		}
-		s.reqs.level--
-		s.writes.level -= float64(r.writes)
+		s.requestBucket.level--
+		s.writeBucket.level -= float64(r.writes)
 		s.queued--
 		s.send(r, limits.StoreTimeout)
 	}
@@ -264,7 +264,7 @@
 
 func (s *Store) send(r *request, timeout time.Duration) {
 	s.nextID++
-	s.flights[s.nextID] = &flight{req: r, sent: s.now}
+	s.inFlight[s.nextID] = &inFlight{req: r, sent: s.now}
 	s.out = append(s.out, Call{ID: s.nextID, Method: r.method, Path: r.path, Body: r.body, Timeout: timeout})
 }
 
@@ -273,20 +273,20 @@
 	if now > s.now {
 		s.now = now
 	}
-	f, ok := s.flights[id]
+	f, ok := s.inFlight[id]
 	if !ok {
 		return
 	}
-	delete(s.flights, id)
+	delete(s.inFlight, id)
 	switch {
 	case status == NoAnswer || status == 503:
 		s.LastFail = s.now
-		s.pause = s.now + limits.StoreBackoff
+		s.pausedUntil = s.now + limits.StoreBackoff
 	case status == 429:
-		s.pause = s.now + limits.StoreBackoff
-		if f.req.writes > 0 && s.next > 0 {
-			s.slower = s.now + limits.SlowerFor
-			s.Share(s.parts[0], s.parts[1])
+		s.pausedUntil = s.now + limits.StoreBackoff
+		if f.req.writes > 0 && s.reducedRate > 0 {
+			s.reducedUntil = s.now + limits.SlowerFor
+			s.SetShare(s.shares[0], s.shares[1])
 		}
 	default:
 		if f.sent > s.LastOK {
@@ -302,24 +302,24 @@
 
 // WriteWait is how long one more change of a priority would wait for the budget.
 func (s *Store) WriteWait(p Priority) time.Duration {
-	n := 1 - s.writes.level
+	n := 1 - s.writeBucket.level
 	for q := Lease; q <= p; q++ {
 		for _, r := range s.queues[q] {
 			n += float64(r.writes)
 		}
 	}
-	return limits.Seconds(max(0, n/s.writes.rate))
+	return limits.Seconds(max(0, n/s.writeBucket.rate))
 }
 
-// Spare tells whether so many changes of the least priority could go now.
-func (s *Store) Spare(changes int) bool {
+// CanSpare tells whether so many changes of the least priority could go now.
+func (s *Store) CanSpare(changes int) bool {
 	n := float64(changes)
 	for p := range s.queues {
 		for _, r := range s.queues[p] {
 			n += float64(r.writes)
 		}
 	}
-	return s.writes.level >= min(n+s.writes.most*reserve[Progress], s.writes.most)
+	return s.writeBucket.level >= min(n+s.writeBucket.capacity*reserve[Progress], s.writeBucket.capacity)
 }
 
 // Down tells whether the state service seems out of reach: the newest failure
--- a/internal/statestore/store_test.go
+++ b/internal/statestore/store_test.go
@@ -36,7 +36,7 @@
 
 func TestBudgetAndPriority(t *testing.T) {
 	s, _ := loaded(t)
-	s.Share(0.5, 0.5) // 9 writes a second
+	s.SetShare(0.5, 0.5) // 9 writes a second
 	var order []string
 	write := func(p Priority, name string) {
 		s.Txn(p, 0, wire.Txn{Then: []wire.Op{{Key: name}, {Key: name}, {Key: name}}}, func(Reply) { order = append(order, name) })
@@ -84,7 +84,7 @@
 	s, watch := loaded(t)
 	s.Reply(2*time.Second, watch, 200, pack(t, map[string]any{"ledger": 9, "news": []any{
 		map[string]any{"put": "u/a", "v": 1, "stamp": 7}, map[string]any{"put": "u/b", "v": 1, "stamp": 8}, map[string]any{"remove": "u/a", "stamp": 9}}}))
-	if _, ok := s.Mirror.Get("u/a"); ok || s.Mirror.Revision != 9 || len(s.Mirror.Take()) != 3 {
+	if _, ok := s.Mirror.Get("u/a"); ok || s.Mirror.Revision != 9 || len(s.Mirror.TakeChanges()) != 3 {
 		t.Fatal("watch not followed")
 	}
 	c := s.Tick(2 * time.Second)
@@ -116,7 +116,7 @@
 // questions leave room, and a submission goes at once.
 func TestNothingUsesUpTheRequests(t *testing.T) {
 	s, watch := loaded(t)
-	s.Share(1.0/7, 1.0/7)
+	s.SetShare(1.0/7, 1.0/7)
 	watches, questions := 0, 0
 	var open []uint64
 	for now := time.Second; now < 20*time.Second; now += 10 * time.Millisecond {
@@ -159,7 +159,7 @@
 // important ones of one change each keep coming, more than the budget holds.
 func TestLargeTransactionsAreSavedFor(t *testing.T) {
 	s, _ := loaded(t)
-	s.Share(0.5, 0.5) // 9 changes a second
+	s.SetShare(0.5, 0.5) // 9 changes a second
 	records, completions := 0, 0
 	for now := time.Second; now <= 11*time.Second; now += 50 * time.Millisecond {
 		if now%(2*time.Second) == 0 {
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -22,38 +22,38 @@
 	// Adopted: a report of the current session showed our term as the highest
 	// token, so its task list is all there is, and no older owner's command can
 	// be executed any more.
-	Adopted  bool
-	Term     uint64
-	Session  uint64
-	Seq      uint64
-	Heard    time.Duration // last report that counted
-	Answered time.Duration // last report answered with 200: starts the lease anew
-	Lost     bool          // its lease is over: nothing is left on it
-	Deleting bool          // the cloud was asked to delete it
-	Draining bool          // gets no new tasks
-	Faulty   bool          // fails the tasks that it starts
-	Recall   time.Duration // when the cloud takes it away; 0: not announced
+	Adopted    bool
+	Term       uint64
+	Session    uint64
+	Seq        uint64
+	LastReport time.Duration // last report that counted
+	LastAnswer time.Duration // last report answered with 200: starts the lease anew
+	Lost       bool          // its lease is over: nothing is left on it
+	Deleting   bool          // the cloud was asked to delete it
+	Draining   bool          // gets no new tasks
+	Faulty     bool          // fails the tasks that it starts
+	Recall     time.Duration // when the cloud takes it away; 0: not announced
 
 	// Orders sent straight to the worker: one is under way; which attempts were
 	// launched so, and when; which of these may still be carried out.
-	Ordered bool
-	Direct  map[uint64]time.Duration
-	Unsure  map[uint64]bool
-	Held    map[string]bool // tasks with an ended attempt that is not cleared yet
+	DirectInFlight bool
+	DirectSince    map[uint64]time.Duration
+	Unconfirmed    map[uint64]bool
+	EndedTasks     map[string]bool // tasks with an ended attempt that is not cleared yet
 
 	// Asked directly in its silence: when next, with which session, and whether the
 	// last question got no answer.
-	AskAt      time.Duration
-	AskSession uint64
-	Mute       bool
-	Asked      bool // its present session was found by asking, and has sent no report
+	NextProbe    time.Duration
+	ProbeSession uint64
+	ProbeFailed  bool
+	FoundByProbe bool // its present session was found by asking, and has sent no report
 
 	reportSeq uint64 // of the last report; Seq may be that of an order's answer
 
 	Tasks  []wire.TaskReport // as last reported
 	Images map[string]bool   // images of tasks placed here; true once one of them ran
 
-	Struck map[string]int // failed tasks since the last success, by job
+	Failures map[string]int // failed tasks since the last success, by job
 }
 
 // Pool is the slice's state.
@@ -93,9 +93,9 @@
 func (p *Pool) Expect(id, class, zone string, spot bool, since time.Duration) *Machine {
 	m := p.Machines[id]
 	if m == nil {
-		m = &Machine{ID: id, Class: class, Zone: zone, Spot: spot, Answered: since, Heard: since,
-			Images: map[string]bool{}, Struck: map[string]int{},
-			Direct: map[uint64]time.Duration{}, Unsure: map[uint64]bool{}, Held: map[string]bool{}}
+		m = &Machine{ID: id, Class: class, Zone: zone, Spot: spot, LastAnswer: since, LastReport: since,
+			Images: map[string]bool{}, Failures: map[string]int{},
+			DirectSince: map[uint64]time.Duration{}, Unconfirmed: map[uint64]bool{}, EndedTasks: map[string]bool{}}
 		p.Machines[id] = m
 		p.sorted = nil
 	}
@@ -113,15 +113,15 @@
 
 // Verdicts.
 const (
-	Stale   Verdict = iota // older than one that was seen: not to be answered with 200
-	Deposed                // it has seen a higher token than ours
-	Strange                // ours to answer, but its list proves nothing yet
-	Current                // its list is the truth about the machine
+	Stale    Verdict = iota // older than one that was seen: not to be answered with 200
+	Deposed                 // it has seen a higher token than ours
+	Unproven                // ours to answer, but its list proves nothing yet
+	Current                 // its list is the truth about the machine
 )
 
-// Hear judges a report for a class that we own with the given term. Only
+// Receive judges a report for a class that we own with the given term. Only
 // Current reports change Tasks.
-func (p *Pool) Hear(now time.Duration, r *wire.Report, term uint64, since time.Duration) (*Machine, Verdict) {
+func (p *Pool) Receive(now time.Duration, r *wire.Report, term uint64, since time.Duration) (*Machine, Verdict) {
 	m := p.Expect(r.Machine, r.Type, r.Zone, r.Spot, since)
 	if m.Term != term {
 		// A new term of ours: everything must be proved again.
@@ -138,50 +138,50 @@
 		// Sent before the worker answered an order, and overtaken by that answer:
 		// it deserves its own, but its list is old.
 		m.reportSeq = r.Seq
-		m.Heard, m.Answered, m.Lost = now, now, false
-		return m, Strange
+		m.LastReport, m.LastAnswer, m.Lost = now, now, false
+		return m, Unproven
 	}
 	if r.Session != m.Session {
 		// Orders of an earlier session are refused from now on.
-		clear(m.Direct)
-		clear(m.Unsure)
+		clear(m.DirectSince)
+		clear(m.Unconfirmed)
 	}
 	m.reportSeq = r.Seq
 	m.Address, m.Class, m.Zone, m.Spot = r.Address, r.Type, r.Zone, r.Spot
 	m.Session, m.Seq = r.Session, r.Seq
-	m.Heard, m.Answered, m.Lost, m.Mute, m.Asked = now, now, false, false, false
+	m.LastReport, m.LastAnswer, m.Lost, m.ProbeFailed, m.FoundByProbe = now, now, false, false, false
 	m.recall(now, r)
 	if r.Token != term {
 		m.Adopted = false
-		return m, Strange
+		return m, Unproven
 	}
 	m.Adopted = true
 	m.Tasks = r.Tasks
 	return m, Current
 }
 
-// HearDirect takes in the report that answers an order; it tells whether it is
+// ReceiveDirect takes in the report that answers an order; it tells whether it is
 // the newest and its list the truth. It does not renew the worker's lease.
-func (p *Pool) HearDirect(now time.Duration, m *Machine, r *wire.Report) bool {
+func (p *Pool) ReceiveDirect(now time.Duration, m *Machine, r *wire.Report) bool {
 	if !m.Adopted || m.Lost || r.Token != m.Term || r.Session != m.Session || r.Seq <= m.Seq {
 		return false
 	}
-	m.Seq, m.Heard, m.Tasks = r.Seq, now, r.Tasks
+	m.Seq, m.LastReport, m.Tasks = r.Seq, now, r.Tasks
 	m.recall(now, r)
 	return true
 }
 
-// HearAsked takes in the report that answers a question under a term of ours. With
+// ReceiveProbe takes in the report that answers a question under a term of ours. With
 // our term as its highest token and the session that was asked, its list is all
-// there is, as in Hear; it renews no lease. Otherwise it tells the session to ask
+// there is, as in Receive; it renews no lease. Otherwise it tells the session to ask
 // with. It tells whether the list counts.
-func (p *Pool) HearAsked(now time.Duration, m *Machine, r *wire.Report, term, session uint64) bool {
+func (p *Pool) ReceiveProbe(now time.Duration, m *Machine, r *wire.Report, term, session uint64) bool {
 	if r.Token > term || m.Lost {
 		return false
 	}
-	m.Mute = false
+	m.ProbeFailed = false
 	if r.Token != term || r.Session != session {
-		m.AskSession, m.AskAt = r.Session, now
+		m.ProbeSession, m.NextProbe = r.Session, now
 		return false
 	}
 	if m.Term != term {
@@ -191,16 +191,16 @@
 		return false
 	}
 	if r.Session != m.Session {
-		clear(m.Direct)
-		clear(m.Unsure)
+		clear(m.DirectSince)
+		clear(m.Unconfirmed)
 		m.reportSeq = 0
 		// A session that nobody answered yet may have begun at any time until now, and
 		// lasts for a lease. Guards against tasks that ran twice: a worker that reached
 		// no controller got them directly in its new session, and the old one's lease
 		// was taken for the end of it.
-		m.Answered, m.Asked = now, true
+		m.LastAnswer, m.FoundByProbe = now, true
 	}
-	m.Adopted, m.Session, m.Seq, m.Heard, m.Tasks = true, r.Session, r.Seq, now, r.Tasks
+	m.Adopted, m.Session, m.Seq, m.LastReport, m.Tasks = true, r.Session, r.Seq, now, r.Tasks
 	m.recall(now, r)
 	return true
 }
@@ -218,13 +218,13 @@
 	}
 }
 
-// Bound is when a machine that was last answered at t holds nothing any more.
-func (p *Pool) Bound(t time.Duration) time.Duration {
+// LeaseEnd is when a machine that was last answered at t holds nothing any more.
+func (p *Pool) LeaseEnd(t time.Duration) time.Duration {
 	return t + time.Duration(float64(p.Lease)*(1+limits.ClockDrift)) + limits.LeaseMargin
 }
 
 // Expired tells whether the machine's lease is certainly over.
-func (p *Pool) Expired(m *Machine, now time.Duration) bool { return now > p.Bound(m.Answered) }
+func (p *Pool) Expired(m *Machine, now time.Duration) bool { return now > p.LeaseEnd(m.LastAnswer) }
 
 // SilentFor is how long a machine may be silent before it is given up.
 func (p *Pool) SilentFor() time.Duration {
@@ -237,5 +237,5 @@
 // Usable tells whether new tasks may be placed on the machine. One that is heard only
 // when it is asked loses them with its lease.
 func (m *Machine) Usable(now time.Duration, report time.Duration) bool {
-	return m.Adopted && !m.Lost && !m.Deleting && !m.Draining && now-m.Heard < 3*report && now-m.Answered < 3*report
+	return m.Adopted && !m.Lost && !m.Deleting && !m.Draining && now-m.LastReport < 3*report && now-m.LastAnswer < 3*report
 }
