--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -1,8 +1,6 @@
 package controller
 
 import (
-	"cmp"
-	"math"
 	"slices"
 
 	"umberpaddle/internal/allocation"
@@ -81,10 +79,7 @@
 	}
 	for i, am := range machines {
 		c.assign(j, tasks[i], jobs.Assignment{Machine: am.ID, Attempt: j.GangRun.Attempt, State: jobs.Planned})
-		m := c.pool.Machines[am.ID]
-		if _, known := m.Images[j.Image]; !known && j.Image != "" {
-			m.Images[j.Image] = false
-		}
+		noteFetch(c.pool.Machines[am.ID], j)
 		c.plannedMachines = append(c.plannedMachines, am.ID)
 	}
 	c.log("debug", "gang placed", "job", j.ID, "tasks", len(tasks), "of", j.Tasks, "attempt", j.GangRun.Attempt, "team", team)
@@ -292,84 +287,3 @@
 	left := m.Recall - c.now.Steady
 	return left <= limits.Seconds(j.SaveS+c.settings.Cluster.Workers.GangPeerS)+limits.DrainSpare+c.pool.Report*5/4
 }
-
-// reserveForGangs leaves some ordinary machines to gangs that should start within seconds. Their
-// tasks are few and small, and the time goes into fetching images, on all their machines
-// at once: where arrays fill whatever is free, each gang comes to machines that lack its
-// image. On machines of their own it is there from the second gang on.
-func (c *Core) reserveForGangs(machines []*allocation.Machine) {
-	t := c.now.Steady
-	if t < c.nextReserve {
-		return // sorting the machines at every look would cost a tenth of a small share
-	}
-	c.nextReserve = t + limits.GangReserveInterval
-	asked, images, classes := 0.0, map[string]bool{}, map[string]bool{}
-	for _, j := range c.jobs.Open {
-		if j.Gang && j.Active && !j.Cancelled && !j.Faulty() && c.startWithin(j) > 0 {
-			asked += float64(j.Tasks) * j.CPUs
-			images[j.Image] = true
-			for _, class := range j.Types {
-				classes[class] = true
-			}
-		}
-	}
-	if asked == 0 && c.gangDemand == 0 {
-		return
-	}
-	c.gangDemand = max(asked, c.gangDemand*math.Exp2(-float64(t-c.gangDemandAt)/float64(limits.GangDemandHalfLife)))
-	c.gangDemandAt = t
-	if c.gangDemand < 1 {
-		c.gangDemand = 0
-		clear(c.reserved)
-		return
-	}
-	all, have := 0.0, 0.0
-	at := map[string]bool{}
-	for _, m := range machines {
-		all += m.Size.CPUs
-		at[m.ID] = true
-		if c.reserved[m.ID] {
-			have += m.Size.CPUs
-		}
-	}
-	for id := range c.reserved {
-		if !at[id] {
-			delete(c.reserved, id)
-		}
-	}
-	want := min(limits.GangReserveFactor*c.gangDemand, limits.GangReserveMost*all)
-	if have >= want {
-		for _, m := range machines { // those that are not needed go back, empty of gangs first
-			if c.reserved[m.ID] && !m.Busy && have-m.Size.CPUs >= want {
-				delete(c.reserved, m.ID)
-				m.GangsOnly = false
-				have -= m.Size.CPUs
-			}
-		}
-		return
-	}
-	// Those that have the images first, then those with most room.
-	score := func(m *allocation.Machine) float64 {
-		s := m.Free.CPUs / m.Size.CPUs
-		for image := range images {
-			if m.Images[image] {
-				s++
-			}
-		}
-		return s
-	}
-	var list []*allocation.Machine
-	for _, m := range machines {
-		if !m.Spot && !c.reserved[m.ID] && (classes[m.Class] || len(classes) == 0) {
-			list = append(list, m)
-		}
-	}
-	slices.SortStableFunc(list, func(a, b *allocation.Machine) int { return cmp.Compare(score(b), score(a)) })
-	for _, m := range list {
-		if have+m.Size.CPUs > limits.GangReserveMost*all || have >= want {
-			break
-		}
-		c.reserved[m.ID], m.GangsOnly = true, true
-		have += m.Size.CPUs
-	}
-}
