--- a/internal/controller/concurrent_failures_test.go
+++ b/internal/controller/concurrent_failures_test.go
@@ -276,7 +276,7 @@
 
 var failureScenarios = []failureScenario{
 	{name: "the gap", play: gap(nil), without: unheard, breaks: "ran_cancelled"},
-	{name: "the gap, peer ends after its answer", play: onlyPeer(gap(func(w *simulation, _, p *simNode) { p.crash(5 * s) })), without: trusting, breaks: "ran_cancelled"},
+	{name: "the gap, peer ends after its answer", play: onlyPeer(gap(func(_ *simulation, _, p *simNode) { p.crash(5 * s) })), without: trusting, breaks: "ran_cancelled"},
 	{name: "the gap, peer back at once", play: onlyPeer(gap(func(w *simulation, _, p *simNode) { p.crash(300 * time.Millisecond); w.refused(p, 20*s) })), without: trusting, breaks: "ran_cancelled"},
 	{name: "the gap, only one peer is served", play: onlyPeer(gap(nil)), without: unheard, breaks: "ran_cancelled"},
 	{name: "the gap, several confirm", play: gap(func(w *simulation, o, _ *simNode) {
@@ -298,7 +298,7 @@
 		w.cutZone("a", w.owner(), 40*s)
 		return 45 * s
 	}, without: noWaiting, breaks: "ran_twice quota sums"},
-	{name: "called off at the end", setup: func(w *simulation) { w.atEnd, w.looks = 0.5, true }, play: func(w *simulation) time.Duration { return 60 * s },
+	{name: "called off at the end", setup: func(w *simulation) { w.atEnd, w.looks = 0.5, true }, play: func(*simulation) time.Duration { return 60 * s },
 		without: sabotaged(func(c *Core) {
 			for _, j := range c.jobs.Open {
 				for task, p := range j.Assigned {
@@ -351,7 +351,7 @@
 			n.crash(w.between(18, 22))
 		}
 		return 30 * s
-	}},
+	}, without: shortLease, breaks: "ran_twice quota sums in_use"},
 	{name: "mute machines, jobs called off, the leader ends", play: func(w *simulation) time.Duration {
 		w.someMachines(3, w.muteFor(25*s))
 		w.scheduleAll(timedFault{2 * s, func() { w.callOff(w.nodes[0], w.longest(4)) }}, timedFault{5 * s, func() { w.endOwner(2 * s) }})
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -43,7 +43,7 @@
 		Ref    uint64
 		Report *wire.Report
 	}
-	// StoreReply, CloudReply and PeerReply are what came of calls.
+	// StoreReply is what came of a call to the state service.
 	StoreReply struct {
 		ID     uint64
 		Status int
--- a/internal/controller/gangs_test.go
+++ b/internal/controller/gangs_test.go
@@ -67,7 +67,7 @@
 // gangFailureScenarios are meetings of troubles with gangs. One attempt that outlives another, a
 // part of a gang that starts anew and a gang called done too early all break rules.
 var gangFailureScenarios = []failureScenario{
-	{name: "gangs beside arrays", quiet: true, setup: someGangs(30, 50*s, 20), play: func(w *simulation) time.Duration { return 10 * s }},
+	{name: "gangs beside arrays", quiet: true, setup: someGangs(30, 50*s, 20), play: func(*simulation) time.Duration { return 10 * s }},
 	{name: "machines with gangs die", quiet: true, setup: someGangs(24, 70*s, 40), play: func(w *simulation) time.Duration {
 		for at := s; at < 25*s; at += 8 * s {
 			w.schedule(at, func() { w.gangMachines((*simMachine).die) })
--- a/internal/controller/machine_records.go
+++ b/internal/controller/machine_records.go
@@ -21,6 +21,7 @@
 
 // machineRecord is the durable record of a machine that may get tasks.
 type machineRecord struct {
+	//lint:ignore U1000 read by the codec: the record is a list, as every version writes it
 	_msgpack struct{} `msgpack:",as_array"`
 	Zone     string
 	Spot     bool
--- a/internal/controller/mixed_versions_test.go
+++ b/internal/controller/mixed_versions_test.go
@@ -172,7 +172,7 @@
 	if oldKnowsGangs {
 		submitGangs(3)
 	}
-	c.waitFor("work under the old version", func(w *simulation) bool { return wide.doneCount > 50 })
+	c.waitFor("work under the old version", func(*simulation) bool { return wide.doneCount > 50 })
 
 	c.replace(a, present)
 	c.submitJobs(10, 4)
@@ -183,18 +183,18 @@
 		submitGangs(3)
 	}
 	before := wide.doneCount
-	c.waitFor("work under a new owner", func(w *simulation) bool { return wide.doneCount > before+50 })
+	c.waitFor("work under a new owner", func(*simulation) bool { return wide.doneCount > before+50 })
 
 	// Promises between both versions: in an outage more tasks begin and end than ran when it
 	// began, so the owner goes on launching.
 	c.world.do(func() { c.world.w.store.setOutage(true); before = wide.doneCount })
-	c.waitFor("work in an outage with both versions", func(w *simulation) bool { return wide.doneCount > before+mostAtATime })
+	c.waitFor("work in an outage with both versions", func(*simulation) bool { return wide.doneCount > before+mostAtATime })
 	c.world.do(func() { c.world.w.store.setOutage(false) })
 
 	c.makeOwner(last) // the old version takes up what the new one wrote
 	c.submitJobs(30, 4)
 	before = wide.doneCount
-	c.waitFor("work under an old owner again", func(w *simulation) bool { return wide.doneCount > before+50 })
+	c.waitFor("work under an old owner again", func(*simulation) bool { return wide.doneCount > before+50 })
 	c.replace(b, present)
 	mustRefuseGangs("two controllers are new", b)
 
--- a/internal/controller/preemption.go
+++ b/internal/controller/preemption.go
@@ -85,17 +85,17 @@
 // anyMayPreempt tells whether a waiting unit may have a right to room that others use. Faulty
 // jobs get nothing that others must leave: all their tasks count as pending.
 func (c *Core) anyMayPreempt(round *schedulingRound, pending map[string]int) bool {
-	any := false
+	found := false
 	for _, team := range round.teams {
 		for _, u := range team.Units {
 			if j := c.jobs.Open[u.Job]; j == nil || j.Faulty() {
 				pending[u.Job] = u.Count
 				continue
 			}
-			any = any || u.Urgent || team.Guarantee != (allocation.Resources{})
+			found = found || u.Urgent || team.Guarantee != (allocation.Resources{})
 		}
 	}
-	return any
+	return found
 }
 
 // preemptibleTasks lists the running tasks that lose nothing when they are stopped but the
--- a/internal/controller/rental_plan.go
+++ b/internal/controller/rental_plan.go
@@ -72,9 +72,6 @@
 	for _, booked := range team.Booked {
 		total = total.Add(booked, 1)
 	}
-	within := func(more allocation.Resources) bool {
-		return !exceeds(total.CPUs+more.CPUs, team.MaxCPUs) && !exceeds(total.GPUs+more.GPUs, team.MaxGPUs)
-	}
 	for _, u := range team.Units {
 		if j := c.jobs.Open[u.Job]; j == nil || j.Faulty() {
 			continue
@@ -82,21 +79,32 @@
 		plan.firstWithRoom = 0
 		if u.Gang {
 			whole := (allocation.Resources{}).Add(u.Need, float64(u.Count))
-			if within(whole) && c.fitGangOnRentals(u, plan) {
+			if withinLimit(team, total, whole) && c.fitGangOnRentals(u, plan) {
 				total = total.Add(whole, 1)
 			}
-			continue
+		} else {
+			total = c.planTasks(plan, team, u, total, lacking[u.Job])
 		}
-		for ; u.Count > 0 && within(u.Need); u.Count-- {
-			if !c.fitOnRentals(u, lacking[u.Job], plan) {
-				if plan.rentedCPUs < lacking[u.Job].tight {
-					plan.refused = append(plan.refused, u)
-				}
-				break
+	}
+}
+
+// planTasks plans machines for one unit's tasks and returns what the team then uses.
+func (c *Core) planTasks(plan *rentalPlan, team *allocation.Team, u *allocation.Unit, total allocation.Resources, lacks shortfall) allocation.Resources {
+	for ; u.Count > 0 && withinLimit(team, total, u.Need); u.Count-- {
+		if !c.fitOnRentals(u, lacks, plan) {
+			if plan.rentedCPUs < lacks.tight {
+				plan.refused = append(plan.refused, u)
 			}
-			total = total.Add(u.Need, 1)
+			break
 		}
+		total = total.Add(u.Need, 1)
 	}
+	return total
+}
+
+// withinLimit tells whether a team that uses total may use more.
+func withinLimit(team *allocation.Team, total, more allocation.Resources) bool {
+	return !exceeds(total.CPUs+more.CPUs, team.MaxCPUs) && !exceeds(total.GPUs+more.GPUs, team.MaxGPUs)
 }
 
 // shortfall is how many CPUs more than there are a job's work and all work before it
--- a/internal/controller/scale_test.go
+++ b/internal/controller/scale_test.go
@@ -44,7 +44,7 @@
 // machines are served again, and all work is done. A core that does not wait for
 // machines after a takeover must be caught.
 func TestLargeFleetComesBack(t *testing.T) {
-	play := func(t *testing.T, nodes int, seed uint64, sabotage func(*Core)) *simulation {
+	play := func(nodes int, seed uint64, sabotage func(*Core)) *simulation {
 		w := largeWorld(nodes, seed)
 		w.sabotage, w.copies, w.repeats = sabotage, 0.01, 0.03
 		for i := 0; i < 160; i++ {
@@ -81,7 +81,7 @@
 	for _, nodes := range []int{3, 5} {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
 			t.Parallel()
-			w := play(t, nodes, uint64(nodes), nil)
+			w := play(nodes, uint64(nodes), nil)
 			w.calm = w.now
 			w.run(115 * time.Second)
 			up, served := 0, 0
@@ -107,7 +107,7 @@
 	}
 	t.Run("guard out", func(t *testing.T) {
 		t.Parallel()
-		w := play(t, 3, 1, func(c *Core) {
+		w := play(3, 1, func(c *Core) {
 			for _, j := range c.jobs.Open {
 				j.Frozen = false
 			}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -325,7 +325,7 @@
 		id := r.PathValue("id")
 		s.user(w, func(ref uint64) Input { return Cancel{ref, id} })
 	})
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		a, ok := s.ask(func(ref uint64) Input { return Ready{ref} }, limits.EdgeTimeout)
 		if !ok {
 			a = Answer{Status: 503}
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"umberpaddle/internal/config"
@@ -72,14 +73,19 @@
 	seq int
 	f   func()
 }
+
 type events []ev
 
 func (e events) Len() int { return len(e) }
+
 func (e events) Less(i, j int) bool {
 	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
 }
+
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(ev)) }
+
+func (e *events) Push(x any) { *e = append(*e, x.(ev)) }
+
 func (e *events) Pop() any {
 	x := (*e)[len(*e)-1]
 	*e = (*e)[:len(*e)-1]
@@ -373,102 +379,112 @@
 
 // send carries out what a step returned.
 func (n *simNode) send(out []Output) {
-	life := n.life
-	alive := func() bool { return n.life == life && n.core != nil }
 	for _, o := range out {
 		switch x := o.(type) {
 		case Answer:
-			if f := n.refs[x.Ref]; f != nil {
-				delete(n.refs, x.Ref)
-				if x.Until > 0 && n.clock().Steady >= x.Until {
-					x.Status, x.Body = 503, nil
-				}
-				var b []byte
-				if x.Body != nil {
-					b = pack(x.Body)
-				}
-				f(x.Status, b)
-			}
+			n.sendAnswer(x)
 		case Log:
 			if x.Level != "debug" {
 				n.w.trace("%s %s %v", n.label, x.Msg, x.Args)
 			}
 		case StoreCall:
-			body := pack(x.Body)
-			n.w.call(n.label, "state", x.Timeout,
-				func(answer func(int, []byte)) {
-					n.w.schedule(n.w.between(0, n.w.store.slow), func() { n.w.store.serve(n.idx, x.Method, x.Path, body, answer) })
-				},
-				func(status int, b []byte) {
-					if alive() {
-						n.step(StoreReply{x.ID, status, b})
-					}
-				})
+			n.callStore(x)
 		case CloudCall:
-			body := pack(x.Body)
-			n.w.call(n.label, "cloud", x.Timeout,
-				func(answer func(int, []byte)) { answer(n.w.cloud.serve(x.Method, x.Path, body)) },
-				func(status int, b []byte) {
-					if alive() {
-						n.step(CloudReply{x.ID, status, b})
-					}
-				})
+			n.callCloud(x)
 		case DirectCall:
-			body := pack(x.Body)
-			m := n.w.machines[x.Address]
-			if late := n.clock().Steady >= x.Until; late || m == nil || m.gone && n.w.chance(0.5) {
-				n.w.schedule(time.Millisecond, func() {
-					if alive() {
-						n.step(DirectReply{ID: x.ID, Unsent: true})
-					}
-				})
-				continue
-			}
-			serve := func(answer func(int, []byte)) { m.when(func() { m.orders(body, answer) }) }
-			if n.w.chance(n.w.stray) { // an order that is held up for long
-				n.w.schedule(n.w.between(0, 4*n.w.cfg.lease), func() { serve(func(int, []byte) {}) })
-				n.w.schedule(limits.DirectTimeout, func() {
-					if alive() {
-						n.step(DirectReply{ID: x.ID})
-					}
-				})
-				continue
-			}
-			n.w.call(n.label, m.id, limits.DirectTimeout, serve, func(status int, b []byte) {
-				if alive() {
-					n.step(DirectReply{ID: x.ID, Status: status, Body: b})
-				}
-			})
-			if n.w.chance(n.w.repeats) { // an order that is carried out once more
-				n.w.schedule(n.w.between(0, 3*n.w.cfg.lease), func() { serve(func(int, []byte) {}) })
-			}
+			n.callWorker(x)
 		case PeerCall:
-			if n.w.gossip != nil && !n.w.gossip(n, &x.Msg, nil) {
-				continue
-			}
-			for _, p := range n.w.nodes {
-				if p.label != x.Peer {
-					continue
-				}
-				n.w.call(n.label, p.label, limits.PeerTimeout,
-					func(answer func(int, []byte)) {
-						p.ask(func(ref uint64) Input { return PeerRequest{ref, x.Msg} }, answer)
-					},
-					func(status int, b []byte) {
-						var a PeerAnswer
-						if status == 200 && wire.Decode(b, &a) != nil {
-							a = PeerAnswer{}
-						}
-						if n.w.gossip != nil && !n.w.gossip(n, &x.Msg, &a) {
-							a = PeerAnswer{}
-						}
-						if alive() {
-							n.step(PeerReply{Call: x, Answer: a})
-						}
-					})
-			}
+			n.callPeer(x)
 		default:
 			panic(fmt.Sprintf("unknown output %T", o))
 		}
 	}
 }
+
+// later makes a function that steps the core, unless its process has ended meanwhile.
+func (n *simNode) later() func(in Input) {
+	life := n.life
+	return func(in Input) {
+		if n.life == life && n.core != nil {
+			n.step(in)
+		}
+	}
+}
+
+func (n *simNode) sendAnswer(x Answer) {
+	answer := n.refs[x.Ref]
+	if answer == nil {
+		return
+	}
+	delete(n.refs, x.Ref)
+	if x.Until > 0 && n.clock().Steady >= x.Until {
+		x.Status, x.Body = 503, nil
+	}
+	var b []byte
+	if x.Body != nil {
+		b = pack(x.Body)
+	}
+	answer(x.Status, b)
+}
+
+func (n *simNode) callStore(x StoreCall) {
+	body, step := pack(x.Body), n.later()
+	n.w.call(n.label, "state", x.Timeout, func(answer func(int, []byte)) {
+		n.w.schedule(n.w.between(0, n.w.store.slow), func() { n.w.store.serve(n.idx, x.Method, x.Path, body, answer) })
+	}, func(status int, b []byte) { step(StoreReply{x.ID, status, b}) })
+}
+
+func (n *simNode) callCloud(x CloudCall) {
+	body, step := pack(x.Body), n.later()
+	n.w.call(n.label, "cloud", x.Timeout, func(answer func(int, []byte)) {
+		answer(n.w.cloud.serve(x.Method, x.Path, body))
+	}, func(status int, b []byte) { step(CloudReply{x.ID, status, b}) })
+}
+
+// callWorker carries a direct command, which may come late, twice or never.
+func (n *simNode) callWorker(x DirectCall) {
+	w, body, step := n.w, pack(x.Body), n.later()
+	m := w.machines[x.Address]
+	if late := n.clock().Steady >= x.Until; late || m == nil || m.gone && w.chance(0.5) {
+		w.schedule(time.Millisecond, func() { step(DirectReply{ID: x.ID, Unsent: true}) })
+		return
+	}
+	serve := func(answer func(int, []byte)) { m.when(func() { m.orders(body, answer) }) }
+	unheard := func() { serve(func(int, []byte) {}) }
+	if w.chance(w.stray) { // one that is held up for long
+		w.schedule(w.between(0, 4*w.cfg.lease), unheard)
+		w.schedule(limits.DirectTimeout, func() { step(DirectReply{ID: x.ID}) })
+		return
+	}
+	w.call(n.label, m.id, limits.DirectTimeout, serve, func(status int, b []byte) {
+		step(DirectReply{ID: x.ID, Status: status, Body: b})
+	})
+	if w.chance(w.repeats) { // one that is carried out once more
+		w.schedule(w.between(0, 3*w.cfg.lease), unheard)
+	}
+}
+
+// callPeer carries a message to another controller.
+func (n *simNode) callPeer(x PeerCall) {
+	w, step := n.w, n.later()
+	if w.gossip != nil && !w.gossip(n, &x.Msg, nil) {
+		return
+	}
+	i := slices.IndexFunc(w.nodes, func(p *simNode) bool { return p.label == x.Peer })
+	if i < 0 {
+		return
+	}
+	peer := w.nodes[i]
+	w.call(n.label, peer.label, limits.PeerTimeout, func(answer func(int, []byte)) {
+		peer.ask(func(ref uint64) Input { return PeerRequest{ref, x.Msg} }, answer)
+	}, func(status int, b []byte) {
+		var a PeerAnswer
+		if status == 200 && wire.Decode(b, &a) != nil {
+			a = PeerAnswer{}
+		}
+		if w.gossip != nil && !w.gossip(n, &x.Msg, &a) {
+			a = PeerAnswer{}
+		}
+		step(PeerReply{Call: x, Answer: a})
+	})
+}
--- a/internal/controller/simulation_users_test.go
+++ b/internal/controller/simulation_users_test.go
@@ -130,7 +130,7 @@
 	id := fmt.Sprintf("job-9%05d", w.rng.IntN(100000))
 	w.call("users", n.label, 2*time.Second, func(answer func(int, []byte)) {
 		n.ask(func(ref uint64) Input { return Query{ref, id} }, answer)
-	}, func(status int, b []byte) {
+	}, func(status int, _ []byte) {
 		if status == 200 {
 			w.reportBroken("invented", "%s", id)
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -218,7 +218,7 @@
 	for _, id := range names {
 		f.Rentals[id].asking = true
 	}
-	f.call("POST", "/hosts/delete", wire.Machines{Machines: names}, func(status int, body []byte) {
+	f.call("POST", "/hosts/delete", wire.Machines{Machines: names}, func(status int, _ []byte) {
 		for _, id := range names {
 			r := f.Rentals[id]
 			if r == nil {
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -175,7 +175,7 @@
 	s.add(&request{prio: p, method: "GET", path: q, done: done})
 }
 
-// NewLease, Renew and EndLease deal with leases.
+// NewLease asks for a lease.
 func (s *Store) NewLease(ttl time.Duration, done func(Reply)) {
 	s.add(&request{prio: Lease, method: "POST", path: "/leases", body: wire.LeaseRequest{TTLMs: ttl.Milliseconds()}, until: s.until(limits.StoreTimeout), done: done})
 }
