--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -3,6 +3,7 @@
 package controller
 
 import (
+	"log/slog"
 	"strings"
 	"time"
 
@@ -141,7 +142,7 @@
 	return c
 }
 
-func (c *Core) log(level, msg string, args ...any) {
+func (c *Core) log(level slog.Level, msg string, args ...any) {
 	c.out = append(c.out, Log{level, msg, args})
 }
 
@@ -192,7 +193,7 @@
 // before. Guards against machines that a node returned, and classes that it handed
 // over, as soon as it went on.
 func (c *Core) resumeAfterPause(t time.Duration) {
-	c.log("info", "stood still", "for", t-c.now.Steady)
+	c.log(slog.LevelInfo, "stood still", "for", t-c.now.Steady)
 	c.lastArrival, c.lastReport = t, t
 	c.reportsResumedAt, c.lastNewMachine = t, t
 	c.nextMachineCheck, c.nextFleetPlan = t+limits.TickInterval, t+limits.PlanInterval
--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"log/slog"
 	"time"
 
 	"umberpaddle/internal/jobs"
@@ -184,7 +185,7 @@
 		rent.Up = true
 	}
 	c.recordReport(m, found)
-	c.log("debug", "silent machine answered", "machine", m.ID, "session", r.Session, "tasks", len(r.Tasks))
+	c.log(slog.LevelDebug, "silent machine answered", "machine", m.ID, "session", r.Session, "tasks", len(r.Tasks))
 	c.dirty = true
 	c.jobsChanged = c.jobsChanged || !resolved
 	c.reconcile(m, nil, true)
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"log/slog"
 	"time"
 
 	"umberpaddle/internal/fleet"
@@ -87,7 +88,7 @@
 	CloudCall struct{ fleet.Call }
 	// Log is a line for the operator.
 	Log struct {
-		Level string
+		Level slog.Level
 		Msg   string
 		Args  []any
 	}
--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"log/slog"
 	"slices"
 
 	"umberpaddle/internal/allocation"
@@ -14,6 +15,19 @@
 // is replaced under it; after that, and whenever a task ends in another way, the whole
 // attempt ends, and the next begins once every task of it is proven off its machine.
 
+// gangEndReason tells why an attempt of a gang ends. The cause that a worker reports for a task
+// is one as well.
+type gangEndReason wire.Cause
+
+// Reasons of the owner's own.
+const (
+	gangMixed         gangEndReason = "mixed attempts"
+	gangTaskLost      gangEndReason = "task lost"
+	gangMachineLeaves gangEndReason = "machine leaves"
+	gangStopTooSlow   gangEndReason = "not stopped in time"
+	gangNotWhole      gangEndReason = "not whole at a takeover"
+)
+
 // gangUnit fits a unit to what a gang needs now; false: nothing.
 func (c *Core) gangUnit(u *allocation.Unit, j *jobs.Job, held map[string][]string) bool {
 	u.Gang, u.Count = true, j.Waiting()
@@ -82,7 +96,7 @@
 		noteFetch(c.pool.Machines[am.ID], j)
 		c.plannedMachines = append(c.plannedMachines, am.ID)
 	}
-	c.log("debug", "gang placed", "job", j.ID, "tasks", len(tasks), "of", j.Tasks, "attempt", j.GangRun.Attempt, "team", team)
+	c.log(slog.LevelDebug, "gang placed", "job", j.ID, "tasks", len(tasks), "of", j.Tasks, "attempt", j.GangRun.Attempt, "team", team)
 }
 
 // gangReported takes in a task of a gang that a machine lists.
@@ -91,7 +105,7 @@
 		return // adopted once all machines are known
 	}
 	if t.Attempt != j.GangRun.Attempt {
-		c.endGang(j, "mixed attempts")
+		c.endGang(j, gangMixed)
 	} else if t.State == wire.TaskRunning || t.State == wire.TaskSaving {
 		j.GangRun.Started = true
 	}
@@ -108,7 +122,7 @@
 	}
 	j.GangRun.LeftMachines[p.Machine] = true
 	if j.GangRun.Started && j.GangRun.StoppedAt == 0 {
-		c.endGang(j, "task lost")
+		c.endGang(j, gangTaskLost)
 	}
 }
 
@@ -128,17 +142,17 @@
 	case t.Cause == wire.CauseHalted && j.GangRun.StoppedAt > 0:
 		// What was told to save: the others are still about it.
 	default:
-		c.endGang(j, t.Cause)
+		c.endGang(j, gangEndReason(t.Cause))
 	}
 }
 
 // endGang ends what is left of a gang's attempt.
-func (c *Core) endGang(j *jobs.Job, why string) {
+func (c *Core) endGang(j *jobs.Job, why gangEndReason) {
 	if j.GangRun.Ending || j.GangRun.Attempt == 0 {
 		return
 	}
 	j.GangRun.Ending = true
-	c.log("info", "gang attempt ends", "job", j.ID, "why", why, "attempt", j.GangRun.Attempt, "left", len(j.Assigned))
+	c.log(slog.LevelInfo, "gang attempt ends", "job", j.ID, "why", why, "attempt", j.GangRun.Attempt, "left", len(j.Assigned))
 	c.dirty = true
 	for _, task := range j.AssignedTasks() {
 		if j.Assigned[task].State == jobs.Planned {
@@ -155,11 +169,11 @@
 		return
 	}
 	if !j.GangRun.Started {
-		c.endGang(j, "machine leaves")
+		c.endGang(j, gangMachineLeaves)
 		return
 	}
 	j.GangRun.StoppedAt = c.now.Steady
-	c.log("info", "gang stops to save", "job", j.ID, "machine", m.ID, "attempt", j.GangRun.Attempt)
+	c.log(slog.LevelInfo, "gang stops to save", "job", j.ID, "machine", m.ID, "attempt", j.GangRun.Attempt)
 	// With the answers to reports alone the last ones might be told too late.
 	c.sendGangStops(j, m.ID)
 }
@@ -215,7 +229,7 @@
 			c.adoptGang(j)
 		}
 		if j.GangRun.StoppedAt > 0 && t > j.GangRun.StoppedAt+limits.Seconds(c.settings.Cluster.Workers.GangPeerS+j.SaveS)+c.pool.Report*5/4+limits.GangStopSlack {
-			c.endGang(j, "not stopped in time")
+			c.endGang(j, gangStopTooSlow)
 		}
 		if j.GangRun.Attempt != 0 && len(j.Assigned) == 0 {
 			j.GangRun = jobs.GangRun{}
@@ -240,7 +254,7 @@
 	}
 	switch whole := len(j.Assigned) == j.Tasks; {
 	case mixed:
-		c.endGang(j, "mixed attempts at a takeover")
+		c.endGang(j, gangMixed)
 	case saving:
 		// Guards against progress that was lost although a part of the gang saved: the
 		// owner before had told only some of the tasks.
@@ -248,10 +262,10 @@
 		c.sendGangStops(j, "")
 	case whole:
 	case j.GangRun.Started || !c.canComplete(j):
-		c.endGang(j, "not whole at a takeover")
+		c.endGang(j, gangNotWhole)
 	default:
 		c.dirty = true
-		c.log("info", "gang attempt is completed", "job", j.ID, "attempt", j.GangRun.Attempt, "missing", j.Waiting())
+		c.log(slog.LevelInfo, "gang attempt is completed", "job", j.ID, "attempt", j.GangRun.Attempt, "missing", j.Waiting())
 	}
 }
 
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"log/slog"
 	"slices"
 	"time"
 
@@ -38,7 +39,7 @@
 	m, v := c.pool.Receive(c.now.Steady, r, term, c.ownership.Claims()[r.Type].Since)
 	switch v {
 	case workers.Stale, workers.Deposed:
-		c.log("debug", "report not taken", "machine", r.Machine, "session", r.Session, "seq", r.Seq, "token", r.Token, "term", term)
+		c.log(slog.LevelDebug, "report not taken", "machine", r.Machine, "session", r.Session, "seq", r.Seq, "token", r.Token, "term", term)
 		reply(503, nil)
 		return
 	}
@@ -158,7 +159,7 @@
 	}
 	before, known := j.Assigned[task]
 	if known && before.Machine != m.ID && before.State != jobs.Planned {
-		c.log("error", "task in two places", "task", t.Task, "machine", m.ID, "other", before.Machine)
+		c.log(slog.LevelError, "task in two places", "task", t.Task, "machine", m.ID, "other", before.Machine)
 		return true, 0
 	}
 	since := before.RunningSince
@@ -168,7 +169,7 @@
 	c.assign(j, task, jobs.Assignment{Machine: m.ID, Attempt: t.Attempt, State: taskState(t.State), RunningSince: since})
 	if t.State == wire.TaskRunning {
 		if !known || before.State < jobs.Running {
-			c.log("debug", "task runs", "job", j.ID, "task", task, "machine", m.ID, "class", j.Class, "afterS", c.age(j.SubmitUnix).Seconds())
+			c.log(slog.LevelDebug, "task runs", "job", j.ID, "task", task, "machine", m.ID, "class", j.Class, "afterS", c.age(j.SubmitUnix).Seconds())
 		}
 		j.Started = true
 		if j.Image != "" {
@@ -198,7 +199,7 @@
 	return false, 0
 }
 
-func taskState(s string) jobs.TaskState {
+func taskState(s wire.TaskState) jobs.TaskState {
 	switch s {
 	case wire.TaskRunning:
 		return jobs.Running
@@ -221,7 +222,7 @@
 
 // cannotFinish tells whether a task that saves nothing will not be done before the
 // cloud takes its machine: it had better start over elsewhere at once.
-func (c *Core) cannotFinish(m *workers.Machine, j *jobs.Job, task int, state string) bool {
+func (c *Core) cannotFinish(m *workers.Machine, j *jobs.Job, task int, state wire.TaskState) bool {
 	if j.CheckS > 0 || state == wire.TaskSaving {
 		return false
 	}
@@ -289,7 +290,7 @@
 	if assignedHere(m, j, task, t) {
 		c.unassign(j, task)
 	}
-	c.log("debug", "attempt ended", "task", t.Task, "machine", m.ID, "cause", t.Cause, "attempt", t.Attempt)
+	c.log(slog.LevelDebug, "attempt ended", "task", t.Task, "machine", m.ID, "cause", t.Cause, "attempt", t.Attempt)
 	if t.Cause == wire.CauseError {
 		c.taskFailed(m, j)
 	}
@@ -314,7 +315,7 @@
 		if c.now.Steady >= j.NotBefore {
 			j.Backoff = min(max(2*j.Backoff, limits.RetryBase), limits.RetryMost)
 			j.NotBefore = c.now.Steady + j.Backoff
-			c.log("info", "job fails everywhere", "job", j.ID, "machines", len(j.FailedOn), "retryIn", j.Backoff)
+			c.log(slog.LevelInfo, "job fails everywhere", "job", j.ID, "machines", len(j.FailedOn), "retryIn", j.Backoff)
 		}
 		return
 	}
@@ -327,7 +328,7 @@
 		return
 	}
 	m.Draining, m.Faulty = true, true
-	c.log("info", "machine fails its tasks", "machine", m.ID, "strikes", strikes)
+	c.log(slog.LevelInfo, "machine fails its tasks", "machine", m.ID, "strikes", strikes)
 	// What failed there says nothing about the jobs. Guards against jobs that were
 	// taken for faulty because several machines were.
 	for _, other := range c.jobs.Open {
@@ -372,7 +373,7 @@
 		if !m.Lost && c.pool.Expired(m, t) {
 			m.Lost = true
 			m.Adopted = false
-			c.log("info", "machine's lease is over", "machine", m.ID, "tasks", c.tasksOn(m.ID))
+			c.log(slog.LevelInfo, "machine's lease is over", "machine", m.ID, "tasks", c.tasksOn(m.ID))
 			c.clearMachine(m.ID)
 		}
 		if c.ownership.MayLaunch() && !m.Deleting {
@@ -395,12 +396,12 @@
 		if m.Spot && m.Recall == 0 {
 			c.fleet.SpotLost()
 		}
-		c.returnMachine(m, "silent")
+		c.returnMachine(m, fleet.ReturnSilent)
 	case m.Recall != 0 && t > m.Recall+limits.RecallSlack && m.LastReport < m.Recall:
-		c.returnMachine(m, "recalled")
+		c.returnMachine(m, fleet.ReturnRecalled)
 	case m.Draining && m.Adopted && (m.Faulty || c.tasksOn(m.ID) == 0) && !c.holdsResults(m):
 		// A faulty machine goes with what it runs, which would fail as well.
-		c.returnMachine(m, "drained")
+		c.returnMachine(m, fleet.ReturnDrained)
 	}
 }
 
@@ -568,7 +569,7 @@
 	return limits.BootSlack
 }
 
-func (c *Core) returnMachine(m *workers.Machine, why string) {
+func (c *Core) returnMachine(m *workers.Machine, why fleet.ReturnReason) {
 	if m.Deleting {
 		return
 	}
--- a/internal/controller/owned_classes.go
+++ b/internal/controller/owned_classes.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"log/slog"
 	"maps"
 	"slices"
 
@@ -138,7 +139,7 @@
 	for class := range c.resolving {
 		if !unresolved[class] {
 			delete(c.resolving, class)
-			c.log("info", "every machine of the class accounted for", "class", class, "term", c.active[class])
+			c.log(slog.LevelInfo, "every machine of the class accounted for", "class", class, "term", c.active[class])
 		}
 	}
 }
--- a/internal/controller/preemption.go
+++ b/internal/controller/preemption.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"log/slog"
 	"time"
 
 	"umberpaddle/internal/allocation"
@@ -78,7 +79,7 @@
 		}
 		c.preemptions[p.Machine.ID] = &preemption{job: p.Unit.Job, tasks: attempts,
 			until: t + 2*c.pool.Report + limits.Seconds(save) + limits.PreemptSlack}
-		c.log("debug", "room claimed", "job", p.Unit.Job, "machine", p.Machine.ID, "tasks", len(attempts))
+		c.log(slog.LevelDebug, "room claimed", "job", p.Unit.Job, "machine", p.Machine.ID, "tasks", len(attempts))
 	}
 }
 
--- a/internal/controller/rental_plan.go
+++ b/internal/controller/rental_plan.go
@@ -362,7 +362,7 @@
 		}
 		wait := c.idleLimit(m.Class)
 		if t-r.Idle > wait && t-r.Since > limits.MinCharge {
-			c.returnMachine(m, "idle")
+			c.returnMachine(m, fleet.ReturnIdle)
 		}
 	}
 }
--- a/internal/controller/scheduling.go
+++ b/internal/controller/scheduling.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"log/slog"
 	"math"
 	"slices"
 
@@ -292,7 +293,7 @@
 	}
 	number := c.attempt(p.Machine.Class)
 	c.assign(j, task, jobs.Assignment{Machine: m.ID, Attempt: number, State: jobs.Planned})
-	c.log("debug", "task placed", "job", j.ID, "task", task, "machine", m.ID, "attempt", number, "team", p.Team, "image", j.Image == "" || m.Images[j.Image])
+	c.log(slog.LevelDebug, "task placed", "job", j.ID, "task", task, "machine", m.ID, "attempt", number, "team", p.Team, "image", j.Image == "" || m.Images[j.Image])
 	noteFetch(m, j)
 	if len(c.plannedMachines) == 0 || c.plannedMachines[len(c.plannedMachines)-1] != m.ID {
 		c.plannedMachines = append(c.plannedMachines, m.ID)
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -213,16 +213,7 @@
 	return s.core.Step(s.now(), in)
 }
 
-func (s *Server) writeLog(x Log) {
-	level := slog.LevelInfo
-	switch x.Level {
-	case "debug":
-		level = slog.LevelDebug
-	case "error":
-		level = slog.LevelError
-	}
-	s.log.Log(s.ctx, level, x.Msg, x.Args...)
-}
+func (s *Server) writeLog(x Log) { s.log.Log(s.ctx, x.Level, x.Msg, x.Args...) }
 
 func (s *Server) send(e inboxEvent) bool {
 	select {
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -384,7 +385,7 @@
 		case Answer:
 			n.sendAnswer(x)
 		case Log:
-			if x.Level != "debug" {
+			if x.Level != slog.LevelDebug {
 				n.w.trace("%s %s %v", n.label, x.Msg, x.Args)
 			}
 		case StoreCall:
--- a/internal/controller/simulation_users_test.go
+++ b/internal/controller/simulation_users_test.go
@@ -20,7 +20,7 @@
 	done      map[int]bool
 	doneCount int
 	accepted  bool
-	told      string // final state that was told
+	told      wire.JobState // final state that was told
 	gang      bool
 	saved     int // times that all its tasks saved
 	cancelAsk bool
--- a/internal/controller/simulation_workers_test.go
+++ b/internal/controller/simulation_workers_test.go
@@ -106,8 +106,8 @@
 	id      string
 	job     *simJob
 	attempt uint64
-	state   string
-	cause   string
+	state   wire.TaskState
+	cause   wire.Cause
 	began   time.Duration
 }
 type simMachine struct {
--- a/internal/controller/usage_log.go
+++ b/internal/controller/usage_log.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"log/slog"
+
 	"umberpaddle/internal/jobs"
 	"umberpaddle/internal/limits"
 )
@@ -38,6 +40,6 @@
 	for _, n := range c.fleet.Booting() {
 		booting += n
 	}
-	c.log("debug", "use of CPUs", "running", by[jobs.Running], "fetching", by[jobs.Fetching], "toldOrPlanned", by[jobs.Planned]+by[jobs.Sent],
+	c.log(slog.LevelDebug, "use of CPUs", "running", by[jobs.Running], "fetching", by[jobs.Fetching], "toldOrPlanned", by[jobs.Planned]+by[jobs.Sent],
 		"saving", by[jobs.Saving], "freeOnBusy", free, "idle", idle, "waiting", waiting, "bootingMachines", booting)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"maps"
 	"math"
 	"slices"
@@ -24,6 +25,20 @@
 	Timeout time.Duration
 }
 
+// ReturnReason tells why a machine is returned.
+type ReturnReason string
+
+// Reasons for returning a machine.
+const (
+	ReturnIdle     ReturnReason = "idle"
+	ReturnDrained  ReturnReason = "drained"
+	ReturnRecalled ReturnReason = "recalled"
+	ReturnSilent   ReturnReason = "silent"
+	ReturnFailed   ReturnReason = "failed"
+	ReturnNeverUp  ReturnReason = "never came up"
+	ReturnUnlisted ReturnReason = "no longer listed"
+)
+
 // Kind is what one rental request asks for.
 type Kind struct {
 	Class, Zone string
@@ -34,20 +49,20 @@
 type Rental struct {
 	ID      string
 	Kind    Kind
-	Since   time.Duration // when it was rented, on our steady clock
-	Known   time.Duration // when this process began to wait for its reports
-	Listed  string        // its status when last listed
-	SeenAt  time.Duration // when it was last listed
-	Up      bool          // its worker has reported
-	WasUp   bool          // it had reported to an earlier owner
-	Deleted bool          // asked to delete; goes with the 200
+	Since   time.Duration      // when it was rented, on our steady clock
+	Known   time.Duration      // when this process began to wait for its reports
+	Listed  wire.MachineStatus // its status when last listed
+	SeenAt  time.Duration      // when it was last listed
+	Up      bool               // its worker has reported
+	WasUp   bool               // it had reported to an earlier owner
+	Deleted bool               // asked to delete; goes with the 200
 	asking  bool
 	Idle    time.Duration // since when it has nothing to do; 0: busy
 }
 
 // Manager is the slice's state.
 type Manager struct {
-	logf        func(level, msg string, args ...any)
+	logf        func(level slog.Level, msg string, args ...any)
 	now         time.Duration
 	rate        float64
 	budget      float64
@@ -93,7 +108,7 @@
 
 // New makes a manager. prefix starts the names of all its rental requests and
 // must never be used by any other life of any node.
-func New(rps, listLagS float64, prefix string, log func(string, string, ...any)) *Manager {
+func New(rps, listLagS float64, prefix string, log func(slog.Level, string, ...any)) *Manager {
 	// One call is due at once: without the machine types a node takes no jobs.
 	return &Manager{budget: 1, logf: log, rate: rps * limits.CloudBudget, prefix: prefix, listLag: limits.Seconds(listLagS),
 		calls: map[uint64]func(int, []byte){}, Types: map[string]*wire.MachineType{}, Rentals: map[string]*Rental{},
@@ -191,13 +206,13 @@
 }
 
 // Delete marks a machine for deletion.
-func (f *Manager) Delete(id, why string) {
+func (f *Manager) Delete(id string, why ReturnReason) {
 	r := f.Rentals[id]
 	if r == nil || r.Deleted {
 		return
 	}
 	r.Deleted = true
-	f.logf("info", "machine returned", "machine", id, "why", why)
+	f.logf(slog.LevelInfo, "machine returned", "machine", id, "why", why)
 }
 
 func (f *Manager) deleteMarked() {
@@ -285,7 +300,7 @@
 			for _, id := range m.Machines {
 				f.Track(id, k, f.now)
 			}
-			f.logf("info", "machines rented", "class", k.Class, "zone", k.Zone, "spot", k.Spot, "asked", h.req.Count, "got", len(m.Machines))
+			f.logf(slog.LevelInfo, "machines rented", "class", k.Class, "zone", k.Zone, "spot", k.Spot, "asked", h.req.Count, "got", len(m.Machines))
 			if len(m.Machines) < h.req.Count {
 				f.backoff[k] = f.now + limits.RentBackoff
 			}
@@ -293,7 +308,7 @@
 			// Perhaps rented: the same name tells, and rents nothing twice.
 			f.unconfirmed[h.req.Request] = h
 		default:
-			f.logf("info", "no machines", "class", k.Class, "zone", k.Zone, "spot", k.Spot, "asked", h.req.Count, "status", status)
+			f.logf(slog.LevelInfo, "no machines", "class", k.Class, "zone", k.Zone, "spot", k.Spot, "asked", h.req.Count, "status", status)
 			f.backoff[k] = f.now + limits.RentBackoff
 		}
 	})
@@ -370,7 +385,7 @@
 		// Listed once and not any more: gone, as the cloud promises. New ones
 		// may be missing for twice the lag.
 		if r.SeenAt != 0 && f.listFrom-r.SeenAt > 2*f.listLag+limits.ListInterval || r.SeenAt == 0 && f.listFrom-r.Since > 3*f.listLag+limits.ListInterval && !r.Up {
-			f.Delete(r.ID, "no longer listed")
+			f.Delete(r.ID, ReturnUnlisted)
 		}
 	}
 	f.pages = nil
@@ -385,7 +400,7 @@
 			continue
 		}
 		if r.Listed == wire.MachineFailed {
-			f.Delete(r.ID, "failed")
+			f.Delete(r.ID, ReturnFailed)
 			continue
 		}
 		t := f.Types[r.Kind.Class]
@@ -405,7 +420,7 @@
 		// Known guards against a takeover that returns running machines
 		// only because they have not reported to the new owner yet.
 		if f.now-r.Since > boot+limits.BootSlack && f.now-known > f.ReportWithin {
-			f.Delete(r.ID, "never came up")
+			f.Delete(r.ID, ReturnNeverUp)
 		}
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"log/slog"
 	"strings"
 	"testing"
 	"time"
@@ -35,7 +36,7 @@
 }
 
 func TestUnansweredRentalIsRepeatedByName(t *testing.T) {
-	f := New(10, 4, "p", func(string, string, ...any) {})
+	f := New(10, 4, "p", func(slog.Level, string, ...any) {})
 	var gone []string
 	f.OnGone = func(id string) { gone = append(gone, id) }
 	now := time.Second
@@ -65,7 +66,7 @@
 	}
 
 	// A deletion counts once it is answered with 200, and is repeated before.
-	f.Delete("i-1", "test")
+	f.Delete("i-1", ReturnIdle)
 	calls = step(t, f, now)
 	f.Reply(now, calls[0].ID, 0, nil)
 	if len(gone) != 0 {
@@ -87,7 +88,7 @@
 }
 
 func TestSpotRiskFollowsLosses(t *testing.T) {
-	f := New(10, 4, "p", func(string, string, ...any) {})
+	f := New(10, 4, "p", func(slog.Level, string, ...any) {})
 	f.Track("i-1", Kind{Spot: true}, 0).Up = true
 	calm := f.SpotRisk(60)
 	for i := 0; i < 5; i++ {
@@ -106,7 +107,7 @@
 // TestMissingMachinesAreNoSupply: what was up under an earlier owner and has not
 // found this one in time is no machine on its way; one that boots still is.
 func TestMissingMachinesAreNoSupply(t *testing.T) {
-	f := New(10, 4, "p", func(string, string, ...any) {})
+	f := New(10, 4, "p", func(slog.Level, string, ...any) {})
 	f.TakeoverRound = 8 * time.Second
 	step(t, f, time.Second)
 	k := Kind{Class: "c", Zone: "z"}
--- a/internal/jobs/final_states.go
+++ b/internal/jobs/final_states.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"log/slog"
 	"maps"
 	"math"
 	"slices"
@@ -12,13 +13,13 @@
 
 // finalState is the value of fin/ID.
 type finalState struct {
-	Status string `msgpack:"s"`
-	Done   int    `msgpack:"d"`
+	Status wire.JobState `msgpack:"s"`
+	Done   int           `msgpack:"d"`
 }
 
 // finalize removes a job, writing its final state first unless status is empty.
 // Done against cancelled is decided here: both need fin/ID to be absent.
-func (b *Registry) finalize(j *Job, status string) {
+func (b *Registry) finalize(j *Job, status wire.JobState) {
 	j.closing = true
 	t, prio, removeLater := b.finalTxn(j, status)
 	b.store.Txn(prio, limits.StoreTimeout*2, t, func(r statestore.Reply) {
@@ -40,7 +41,7 @@
 // finalTxn is the transaction that ends a job. The record of a small job goes later, with
 // others': a completion costs one change while changes are scarce. Until then its done set
 // stays, too.
-func (b *Registry) finalTxn(j *Job, status string) (t wire.Txn, prio statestore.Priority, removeLater bool) {
+func (b *Registry) finalTxn(j *Job, status wire.JobState) (t wire.Txn, prio statestore.Priority, removeLater bool) {
 	t.Guards = []wire.Guard{b.guard(j.GuardClass), {Key: keyJob + j.ID, Version: j.version}}
 	prio = statestore.Progress
 	if status != "" {
@@ -66,10 +67,10 @@
 }
 
 // finalWritten takes note that a job's end is in the state service.
-func (b *Registry) finalWritten(j *Job, status string, removeLater bool) {
+func (b *Registry) finalWritten(j *Job, status wire.JobState, removeLater bool) {
 	if status != "" {
 		b.cacheFinal(j.ID, finalState{Status: status, Done: j.DoneCount})
-		b.log("info", "job over", "job", j.ID, "class", j.Class, "status", status, "tasks", j.Tasks,
+		b.log(slog.LevelInfo, "job over", "job", j.ID, "class", j.Class, "status", status, "tasks", j.Tasks,
 			"tookS", math.Round(10*(b.unixTime-j.SubmitUnix))/10, "dueS", j.DeadlineS, "estimateS", j.EstimateS)
 	}
 	if removeLater {
--- a/internal/jobs/known_states.go
+++ b/internal/jobs/known_states.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"log/slog"
 	"slices"
 	"sort"
 	"time"
@@ -15,7 +16,7 @@
 		return false
 	}
 	j.Cancelled, j.CancelledAt = true, b.now
-	b.log("info", "job cancelled", "job", id)
+	b.log(slog.LevelInfo, "job cancelled", "job", id)
 	return true
 }
 
--- a/internal/jobs/registry.go
+++ b/internal/jobs/registry.go
@@ -12,6 +12,7 @@
 package jobs
 
 import (
+	"log/slog"
 	"maps"
 	"slices"
 	"sort"
@@ -36,7 +37,7 @@
 // Registry is the slice's state.
 type Registry struct {
 	store    *statestore.Store
-	log      func(level, msg string, args ...any)
+	log      func(level slog.Level, msg string, args ...any)
 	now      time.Duration
 	unixTime float64 // time of day, for the log
 	Open     map[string]*Job
@@ -72,7 +73,7 @@
 }
 
 // New makes an empty book.
-func New(store *statestore.Store, guard func(class string) wire.Guard, format func() int, log func(string, string, ...any)) *Registry {
+func New(store *statestore.Store, guard func(class string) wire.Guard, format func() int, log func(slog.Level, string, ...any)) *Registry {
 	b := &Registry{store: store, guard: guard, format: format, log: log, Open: map[string]*Job{}, finals: map[string]finalState{}, confirmedCancels: map[string]time.Duration{}, submissionsByID: map[string]*submission{},
 		flushAt: map[string]time.Duration{}, orphanParts: map[string]bool{}, orphanRecords: map[string]bool{}, finalized: map[string]*Job{}}
 	b.doneSets = statestore.NewRecordTable(store, keyDoneSets, guard, b.applyDone)
@@ -104,7 +105,7 @@
 	}
 	spec := &wire.Job{}
 	if err := wire.Decode(c.Entry.Value, spec); err != nil || spec.Tasks < 1 || spec.Tasks > limits.MaxTasks {
-		b.log("error", "unreadable job record", "job", id)
+		b.log(slog.LevelError, "unreadable job record", "job", id)
 		return
 	}
 	if b.Open[id] != nil || b.finalized[id] != nil {
--- a/internal/jobs/registry_test.go
+++ b/internal/jobs/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"strings"
 	"testing"
 	"time"
@@ -52,7 +53,7 @@
 func newBench(t *testing.T) *bench {
 	s := statestore.New(1000, 1000, 8, 4)
 	guard := func(string) wire.Guard { return wire.Guard{Key: "u/own/c", Version: 1} }
-	b := &bench{t: t, store: s, book: New(s, guard, func() int { return limits.RecordFormat }, func(string, string, ...any) {}), now: time.Second}
+	b := &bench{t: t, store: s, book: New(s, guard, func() int { return limits.RecordFormat }, func(slog.Level, string, ...any) {}), now: time.Second}
 	b.tick() // reads the mirror
 	return b
 }
--- a/internal/jobs/users.go
+++ b/internal/jobs/users.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"log/slog"
 	"math"
 	"time"
 
@@ -156,7 +157,7 @@
 				b.store.Mirror.Put(keyJob+s.job.ID, raw, revision)
 			}
 		}
-		b.log("info", "job accepted", "job", s.job.ID, "team", s.job.Team, "tasks", s.job.Tasks)
+		b.log(slog.LevelInfo, "job accepted", "job", s.job.ID, "team", s.job.Team, "tasks", s.job.Tasks)
 		st := wire.JobStatus{ID: s.job.ID, Status: wire.StatusPending}
 		b.respond(s, Answer{Status: 201, Body: st}, Answer{Status: 200, Body: st})
 	}
--- a/internal/ownership/handover.go
+++ b/internal/ownership/handover.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"log/slog"
 	"sort"
 
 	"umberpaddle/internal/wire"
@@ -34,7 +35,7 @@
 		return
 	}
 	for class, c := range n.claims {
-		n.log("info", "class handed over", "class", class, "term", c.Term, "to", next)
+		n.log(slog.LevelInfo, "class handed over", "class", class, "term", c.Term, "to", next)
 		n.handingOver[class] = c.Term
 	}
 	n.dropClaims()
--- a/internal/ownership/lease.go
+++ b/internal/ownership/lease.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"log/slog"
 	"time"
 
 	"umberpaddle/internal/limits"
@@ -51,7 +52,7 @@
 		case statestore.OK:
 			n.extendLease(r.SentAt)
 		case statestore.NotFound:
-			n.log("info", "state lease lost", "lease", lease)
+			n.log(slog.LevelInfo, "state lease lost", "lease", lease)
 			n.lease, n.leaseEnd, n.nextRenew = 0, 0, 0
 			n.dropClaims()
 		}
--- a/internal/ownership/mapping.go
+++ b/internal/ownership/mapping.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"log/slog"
 	"sort"
 
 	"umberpaddle/internal/limits"
@@ -65,7 +66,7 @@
 			key := keyMap + classKey(c)
 			t.Guards = append(t.Guards, wire.Guard{Key: key, Version: n.mapping[c].version})
 			t.Then = append(t.Then, wire.Op{Key: key, Value: holderRecord{Node: want[c]}})
-			n.log("info", "class mapped", "class", c, "owner", want[c], "before", n.mapping[c].Node)
+			n.log(slog.LevelInfo, "class mapped", "class", c, "owner", want[c], "before", n.mapping[c].Node)
 		}
 	}
 	if len(t.Then) > 0 {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -8,6 +8,7 @@
 package ownership
 
 import (
+	"log/slog"
 	"maps"
 	"net/url"
 	"slices"
@@ -62,7 +63,7 @@
 
 	store  *statestore.Store
 	others []string
-	log    func(level, msg string, args ...any)
+	log    func(level slog.Level, msg string, args ...any)
 	now    time.Duration
 	start  time.Duration
 
@@ -102,7 +103,7 @@
 
 // New makes the slice. inc is a random number that names this process's life, blind
 // what Blind says of the workers.
-func New(name string, others []string, inc uint64, start, blind time.Duration, store *statestore.Store, log func(string, string, ...any)) *Node {
+func New(name string, others []string, inc uint64, start, blind time.Duration, store *statestore.Store, log func(slog.Level, string, ...any)) *Node {
 	return &Node{Name: name, Inc: inc, SupportedFormat: limits.RecordFormat, store: store, others: others, log: log, now: start, start: start,
 		nodes: map[string]record{}, mapping: map[string]record{}, holders: map[string]record{}, lastOwners: map[string]string{},
 		endingLeases: map[uint64]bool{}, claims: map[string]*Claim{}, handingOver: map[string]uint64{}, retryAt: map[string]time.Duration{}, extensions: map[string]time.Duration{},
@@ -142,7 +143,7 @@
 		n.format = max(n.format, r.Format)
 	case c.Key == keyLeader:
 		if r.Node != n.leader.Node || r.Inc != n.leader.Inc {
-			n.log("info", "leader changed", "leader", r.Node, "before", n.leader.Node, "term", r.version)
+			n.log(slog.LevelInfo, "leader changed", "leader", r.Node, "before", n.leader.Node, "term", r.version)
 		}
 		n.leader = r
 	case strings.HasPrefix(c.Key, keyNode):
@@ -284,7 +285,7 @@
 
 func (n *Node) dropClaims() {
 	for class, c := range n.claims {
-		n.log("info", "class given up", "class", class, "term", c.Term)
+		n.log(slog.LevelInfo, "class given up", "class", class, "term", c.Term)
 		delete(n.claims, class)
 	}
 }
@@ -294,7 +295,7 @@
 	for class, c := range n.claims {
 		r, ok := n.holders[class]
 		if !ok || !n.isOurs(r) || r.version != c.Term || n.mapping[class].Node != n.Name {
-			n.log("info", "class given up", "class", class, "term", c.Term)
+			n.log(slog.LevelInfo, "class given up", "class", class, "term", c.Term)
 			delete(n.claims, class)
 		}
 	}
@@ -325,7 +326,7 @@
 			continue
 		}
 		n.claims[class] = &Claim{Class: class, Term: r.version, Since: n.now}
-		n.log("info", "class taken over", "class", class, "term", r.version)
+		n.log(slog.LevelInfo, "class taken over", "class", class, "term", r.version)
 	}
 	n.release(handed)
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,48 +13,63 @@
 	"umberpaddle/internal/limits"
 )
 
-// Task states and causes of a task's end, as workers report them.
+// TaskState is where a task stands, as its worker reports it.
+type TaskState string
+
+// Task states.
 const (
-	TaskFetching = "fetching"
+	TaskFetching TaskState = "fetching"
 	// TaskGathering is a gang task that waits for the others of its attempt.
-	TaskGathering = "gathering"
-	TaskRunning   = "running"
-	TaskSaving    = "saving"
-	TaskEnded     = "ended"
-
-	CauseDone   = "done"
-	CauseHalted = "halted"
-	CauseError  = "error"
-	CauseNoRoom = "no_room"
-	CauseInUse  = "in_use"
-	CauseNoSuch = "no_such"
+	TaskGathering TaskState = "gathering"
+	TaskRunning   TaskState = "running"
+	TaskSaving    TaskState = "saving"
+	TaskEnded     TaskState = "ended"
+)
+
+// Cause tells why a task ended.
+type Cause string
+
+// Causes of a task's end.
+const (
+	CauseDone   Cause = "done"
+	CauseHalted Cause = "halted"
+	CauseError  Cause = "error"
+	CauseNoRoom Cause = "no_room"
+	CauseInUse  Cause = "in_use"
+	CauseNoSuch Cause = "no_such"
 	// CausePeers and CauseAlone end a gang task: another one is gone, or the gang was
 	// not complete in time.
-	CausePeers = "peers"
-	CauseAlone = "alone"
+	CausePeers Cause = "peers"
+	CauseAlone Cause = "alone"
 )
 
+// Verb is what a command asks of a worker.
+type Verb string
+
 // Verbs of commands.
 const (
-	VerbLaunch = "launch"
-	VerbStop   = "stop"
-	VerbClear  = "clear"
+	VerbLaunch Verb = "launch"
+	VerbStop   Verb = "stop"
+	VerbClear  Verb = "clear"
 )
 
-// Job states as users see them.
+// JobState is a job's state as users see it.
+type JobState string
+
+// Job states.
 const (
-	StatusPending   = "pending"
-	StatusRunning   = "running"
-	StatusDone      = "done"
-	StatusCancelled = "cancelled"
+	StatusPending   JobState = "pending"
+	StatusRunning   JobState = "running"
+	StatusDone      JobState = "done"
+	StatusCancelled JobState = "cancelled"
 )
 
 // JobStatus answers users.
 type JobStatus struct {
-	ID      string `msgpack:"id"`
-	Status  string `msgpack:"status"`
-	Done    int    `msgpack:"done"`
-	Running int    `msgpack:"running"`
+	ID      string   `msgpack:"id"`
+	Status  JobState `msgpack:"status"`
+	Done    int      `msgpack:"done"`
+	Running int      `msgpack:"running"`
 }
 
 // ErrorBody explains a refusal.
@@ -64,11 +79,11 @@
 
 // TaskReport is one task of a report.
 type TaskReport struct {
-	Task    string `msgpack:"sheet"`
-	Attempt uint64 `msgpack:"try"`
-	State   string `msgpack:"status"`
-	Cause   string `msgpack:"cause"`
-	Saved   bool   `msgpack:"kept"`
+	Task    string    `msgpack:"sheet"`
+	Attempt uint64    `msgpack:"try"`
+	State   TaskState `msgpack:"status"`
+	Cause   Cause     `msgpack:"cause"`
+	Saved   bool      `msgpack:"kept"`
 }
 
 // Report is what a worker sends.
@@ -104,7 +119,7 @@
 
 // Command tells a worker what to do.
 type Command struct {
-	Verb    string  `msgpack:"verb"`
+	Verb    Verb    `msgpack:"verb"`
 	Task    string  `msgpack:"sheet"`
 	Attempt uint64  `msgpack:"try"`
 	GraceS  float64 `msgpack:"leewayS,omitempty"`
@@ -163,13 +178,13 @@
 
 // ListedMachine is one entry of the cloud's list.
 type ListedMachine struct {
-	ID      string  `msgpack:"id"`
-	Address string  `msgpack:"address"`
-	Type    string  `msgpack:"build"`
-	Zone    string  `msgpack:"valley"`
-	Spot    bool    `msgpack:"loaners"`
-	Status  string  `msgpack:"status"`
-	AgeS    float64 `msgpack:"ageS"`
+	ID      string        `msgpack:"id"`
+	Address string        `msgpack:"address"`
+	Type    string        `msgpack:"build"`
+	Zone    string        `msgpack:"valley"`
+	Spot    bool          `msgpack:"loaners"`
+	Status  MachineStatus `msgpack:"status"`
+	AgeS    float64       `msgpack:"ageS"`
 }
 
 // MachineList is one page of the cloud's list.
@@ -178,11 +193,14 @@
 	More     bool            `msgpack:"hasNext"`
 }
 
+// MachineStatus is what the cloud says of a machine.
+type MachineStatus string
+
 // Statuses of listed machines.
 const (
-	MachineBooting = "booting"
-	MachineRunning = "running"
-	MachineFailed  = "failed"
+	MachineBooting MachineStatus = "booting"
+	MachineRunning MachineStatus = "running"
+	MachineFailed  MachineStatus = "failed"
 )
 
 // Row is a key of the state service.
