Test of mixed versions: the new version must lead and own in its present life

With the gate for the new form of records taken out the test passed: the controller that should take over had the keys of an earlier life, and an old one led.

--- a/internal/controller/mixed_versions_test.go
+++ b/internal/controller/mixed_versions_test.go
@@ -54,25 +54,33 @@
 	return filepath.Join(sources, "umberpaddle")
 }
 
-// owner names the controller that owns the machine class of the process world, or nobody.
-func (c *processCluster) owner(w *simulation) *controllerProcess {
-	var claim struct {
-		Node string `msgpack:"n"`
-	}
-	k := w.store.keys["u/own/small"]
-	if k == nil || wire.Decode(k.value, &claim) != nil {
-		return nil
-	}
-	for _, p := range c.processes {
-		if p.label == claim.Node {
-			return p
-		}
+// processKey is the value of the state service's keys that name a controller's process.
+type processKey struct {
+	Node string `msgpack:"n"`
+	Life uint64 `msgpack:"i"`
+}
+
+// readProcessKey reads such a key; its version is 0 if there is none.
+func readProcessKey(w *simulation, key string) (value processKey, version uint64) {
+	k := w.store.keys[key]
+	if k == nil || wire.Decode(k.value, &value) != nil {
+		return processKey{}, 0
 	}
-	return nil
+	return value, k.version
+}
+
+// leadsAndOwns tells whether the present process of a controller is the leader and owns the
+// machine class of the process world. Guards against a test that took the keys of an earlier
+// life for it, and tested nothing.
+func (p *controllerProcess) leadsAndOwns(w *simulation) bool {
+	self, version := readProcessKey(w, "u/n/"+p.label)
+	owner, _ := readProcessKey(w, "u/own/small")
+	leader, _ := readProcessKey(w, "u/leader")
+	return version > p.since && owner == self && leader == self
 }
 
-// makeOwner ends all controllers but one until that one is the owner, and starts the
-// others again with the versions that they ran.
+// makeOwner ends all controllers but one until that one leads and owns everything, and starts
+// the others again with the versions that they ran.
 func (c *processCluster) makeOwner(next *controllerProcess) {
 	c.t.Helper()
 	for _, p := range c.processes {
@@ -80,7 +88,7 @@
 			c.kill(p)
 		}
 	}
-	c.waitFor("takeover by "+next.label, func(w *simulation) bool { return c.owner(w) == next })
+	c.waitFor("takeover by "+next.label, next.leadsAndOwns)
 	for _, p := range c.processes {
 		if p != next {
 			c.start(p, p.binary)
@@ -184,6 +192,7 @@
 	}
 	before := wide.doneCount
 	c.waitFor("work under a new owner", func(*simulation) bool { return wide.doneCount > before+50 })
+	mustRefuseGangs("one controller is new, and the leader", a)
 
 	// Promises between both versions: in an outage more tasks begin and end than ran when it
 	// began, so the owner goes on launching.
--- a/internal/controller/process_cluster_test.go
+++ b/internal/controller/process_cluster_test.go
@@ -120,6 +120,7 @@
 
 	command *exec.Cmd  // nil while it is down
 	ended   chan error // gets what ended the process
+	since   uint64     // the state service's revision when it was started
 	binary  string     // the version that it runs, or ran last
 }
 
@@ -223,6 +224,7 @@
 		c.t.Fatal(err)
 	}
 	p.command, p.binary, p.ended = command, binary, make(chan error, 1)
+	c.world.do(func() { p.since = c.world.w.store.revision })
 	go func(ended chan<- error) { ended <- command.Wait() }(p.ended)
 }
 
