--- a/internal/allocation/preemption.go
+++ b/internal/allocation/preemption.go
@@ -49,6 +49,8 @@
 // preemptor is the state of one call of Preempt.
 type preemptor struct {
 	machines   []*Machine
+	lending    []*Machine                 // those with candidates
+	lenders    map[string]bool            // teams with candidates
 	candidates map[*Machine][]Preemptible // largest first; without machines that are taken
 	totals     map[string]Resources       // what each team runs, without the victims
 	guarantees map[string]Resources
@@ -59,9 +61,13 @@
 
 func newPreemptor(teams []*Team, machines []*Machine, candidates []Preemptible, pending map[string]int, most int) *preemptor {
 	p := &preemptor{machines: machines, candidates: map[*Machine][]Preemptible{}, totals: map[string]Resources{},
-		guarantees: map[string]Resources{}, pending: pending, most: most}
+		lenders: map[string]bool{}, guarantees: map[string]Resources{}, pending: pending, most: most}
 	for _, c := range candidates {
+		if p.candidates[c.Machine] == nil {
+			p.lending = append(p.lending, c.Machine)
+		}
 		p.candidates[c.Machine] = append(p.candidates[c.Machine], c)
+		p.lenders[c.Team] = true
 	}
 	for _, list := range p.candidates {
 		sort.SliceStable(list, func(a, b int) bool { return list[a].Need.CPUs > list[b].Need.CPUs })
@@ -107,7 +113,7 @@
 			p.pending[u.Job]--
 			continue
 		}
-		x, ok := choosePreemption(u, p.machines, p.candidates, p.allowed(t.Name, within))
+		x, ok := choosePreemption(u, p.lending, p.candidates, p.allowed(t.Name, within))
 		if !ok {
 			break
 		}
@@ -123,7 +129,11 @@
 		return total
 	}
 	total = total.Add(u.total(), 1)
-	if p.pending[u.Job] > 0 {
+	lenders := len(p.lenders)
+	if p.lenders[t.Name] {
+		lenders--
+	}
+	if p.pending[u.Job] > 0 || lenders == 0 {
 		return total
 	}
 	list := chooseGangPreemption(u, p.machines, p.candidates, p.allowed(t.Name, within))
--- a/internal/controller/machine_records.go
+++ b/internal/controller/machine_records.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -105,14 +104,19 @@
 // recordMachinesBooting records what is on its way: a successor then knows of it before the
 // lists do, and rents nothing twice.
 func (c *Core) recordMachinesBooting() {
-	for _, id := range slices.Sorted(maps.Keys(c.fleet.Rentals)) {
-		r := c.fleet.Rentals[id]
+	var booting []string
+	for id, r := range c.fleet.Rentals {
 		_, recorded := c.machineRecords[id]
 		_, ours := c.active[r.Kind.Class]
 		if ours && !recorded && !c.recordRequested[id] && !r.Deleted && !r.Up && r.Listed == "" {
-			c.machineTable.Set(r.Kind.Class, id, c.newMachineRecord(r.Kind, r.Since), limits.PageDelay)
+			booting = append(booting, id)
 		}
 	}
+	slices.Sort(booting) // which records share a key must not depend on the order of a map
+	for _, id := range booting {
+		r := c.fleet.Rentals[id]
+		c.machineTable.Set(r.Kind.Class, id, c.newMachineRecord(r.Kind, r.Since), limits.PageDelay)
+	}
 }
 
 func (c *Core) writeTypes() {
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -131,13 +131,16 @@
 	return s
 }
 
+// escapeSize is the length of one escape in JSON, such as \u0000.
+const escapeSize = 6
+
 // escapedSize is the length of a text in JSON, where bytes that are not UTF-8, control
 // characters and a few others are written as escapes.
 func escapedSize(s string) int {
 	size := 0
 	for _, r := range s {
 		if r < 0x20 || r == utf8.RuneError || strings.ContainsRune("\"\\<>&\u2028\u2029\u007f", r) {
-			size += len(`\u0000`)
+			size += escapeSize
 		} else {
 			size += utf8.RuneLen(r)
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -106,9 +106,10 @@
 	if r.Machine == "" {
 		return errors.New("hut: missing")
 	}
-	for name, text := range map[string]string{"hut": r.Machine, "address": r.Address, "build": r.Type, "valley": r.Zone} {
-		if escapedSize(text) > limits.MaxTextBytes {
-			return fmt.Errorf("%s: longer than %d bytes", name, limits.MaxTextBytes)
+	for _, field := range [...]struct{ name, text string }{{"hut", r.Machine}, {"address", r.Address}, {"build", r.Type}, {"valley", r.Zone}} {
+		// Hundreds of reports come each second: a short text needs no closer look.
+		if len(field.text) > limits.MaxTextBytes/escapeSize && escapedSize(field.text) > limits.MaxTextBytes {
+			return fmt.Errorf("%s: longer than %d bytes", field.name, limits.MaxTextBytes)
 		}
 	}
 	if s := r.RecallS; s != nil && !(math.Abs(*s) <= limits.MaxSeconds) {
