--- /dev/null
+++ b/internal/controller/process_cluster_test.go
@@ -0,0 +1,308 @@
+package controller
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"umberpaddle/internal/config"
+	"umberpaddle/internal/fleet"
+	"umberpaddle/internal/wire"
+)
+
+// realWorld runs the stand-ins of the simulated world in real time behind real
+// sockets, for processes of the real program.
+type realWorld struct {
+	mu    sync.Mutex
+	w     *world
+	start time.Time
+}
+
+func (r *realWorld) pump(stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(2 * time.Millisecond):
+			r.do(func() {})
+		}
+	}
+}
+
+// do runs f in the world at the present time.
+func (r *realWorld) do(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.w.run(time.Since(r.start))
+	f()
+}
+
+func (r *realWorld) handler(serve func(method, path string, body []byte, answer func(int, []byte))) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, q *http.Request) {
+		body, err := io.ReadAll(q.Body)
+		if err != nil {
+			return
+		}
+		type result struct {
+			status int
+			body   []byte
+		}
+		ch := make(chan result, 1)
+		r.do(func() {
+			serve(q.Method, q.URL.RequestURI(), body, func(s int, b []byte) { ch <- result{s, b} })
+		})
+		select {
+		case x := <-ch:
+			rw.WriteHeader(x.status)
+			rw.Write(x.body)
+		case <-q.Context().Done():
+		}
+	})
+}
+
+// remote makes a node of the world stand for a real process.
+func (r *realWorld) remote(addr string) func(in any, answer func(int, []byte)) {
+	client := &http.Client{Timeout: 5 * time.Second}
+	return func(in any, answer func(int, []byte)) {
+		method, path, body := "POST", "", []byte(nil)
+		switch x := in.(type) {
+		case Checkin:
+			path, body = "/checkin", pack(x.Report)
+		case Submit:
+			path, body = "/work", x.Body
+		case Query:
+			method, path = "GET", "/work/"+x.ID
+		case Cancel:
+			path = "/work/" + x.ID + "/cancel"
+		}
+		go func() {
+			req, err := http.NewRequest(method, "http://"+addr+path, bytes.NewReader(body))
+			if err != nil {
+				return
+			}
+			resp, err := client.Do(req)
+			if err != nil {
+				return // no answer
+			}
+			defer resp.Body.Close()
+			b, err := io.ReadAll(resp.Body)
+			if err == nil {
+				r.do(func() { answer(resp.StatusCode, b) })
+			}
+		}()
+	}
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// controllerProcess is one controller, run as a real process.
+type controllerProcess struct {
+	label, apiAddr, peerAddr, settingsFile string
+
+	command *exec.Cmd  // nil while it is down
+	ended   chan error // gets what ended the process
+	binary  string     // the version that it runs, or ran last
+}
+
+// processCluster runs controllers as real processes on loopback against the stand-ins for
+// the state service, the cloud, the workers and the users.
+type processCluster struct {
+	t         *testing.T
+	world     *realWorld
+	processes []*controllerProcess
+	users     http.Client
+}
+
+// buildPresentVersion builds the program from the sources under test.
+func buildPresentVersion(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "umberpaddle")
+	out, err := exec.Command("go", "build", "-o", binary, "umberpaddle/cmd/umberpaddle").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
+// smallProcessWorld is a deployment that a test can run through in seconds.
+func smallProcessWorld() worldConfig {
+	cfg := standardWorld()
+	cfg.nodes = 0 // the nodes are processes
+	cfg.teams = []config.Team{{Name: "red", CPUsMax: 40}, {Name: "blue"}}
+	cfg.types = []wire.MachineType{{Name: "small", CPUs: 8, MemoryGB: 32, Price: 0.5, SpotPrice: 0.2, BootS: 2, Zones: []string{"a"}}}
+	cfg.capacity = map[fleet.Kind]int{{Class: "small", Zone: "a", Spot: true}: 6}
+	cfg.report, cfg.lease = 0.6, 10
+	return cfg
+}
+
+// startProcessCluster starts controllers of one version. They end with the test.
+func startProcessCluster(t *testing.T, cfg worldConfig, binary string, size int) *processCluster {
+	t.Helper()
+	r := &realWorld{w: newWorld(1, cfg), start: time.Now()}
+	c := &processCluster{t: t, world: r, users: http.Client{Timeout: 5 * time.Second}}
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	go r.pump(stop)
+	state := httptest.NewServer(r.handler(func(m, p string, b []byte, a func(int, []byte)) { r.w.store.serve(0, m, p, b, a) }))
+	t.Cleanup(state.Close)
+	cloud := httptest.NewServer(r.handler(func(m, p string, b []byte, a func(int, []byte)) { a(r.w.cloud.serve(m, p, b)) }))
+	t.Cleanup(cloud.Close)
+	dir := t.TempDir()
+	for i := range size {
+		label := fmt.Sprintf("node-%d", i)
+		c.processes = append(c.processes, &controllerProcess{label: label, apiAddr: freeAddr(t), peerAddr: freeAddr(t), settingsFile: filepath.Join(dir, label+".json")})
+	}
+	t.Cleanup(func() {
+		for _, p := range c.processes {
+			c.kill(p)
+		}
+	})
+	for i, p := range c.processes {
+		c.writeSettings(p, r.w.cfg, state.Listener.Addr().String(), cloud.Listener.Addr().String())
+		c.start(p, binary)
+		r.do(func() {
+			r.w.nodes = append(r.w.nodes, &simNode{w: r.w, idx: i, label: p.label, remote: r.remote(p.apiAddr)})
+		})
+	}
+	return c
+}
+
+// writeSettings writes the platform's settings file of one controller.
+func (c *processCluster) writeSettings(p *controllerProcess, cfg worldConfig, state, cloud string) {
+	c.t.Helper()
+	var set config.Settings
+	set.Label, set.APIAddr, set.PeerBind = p.label, p.apiAddr, p.peerAddr
+	for _, other := range c.processes {
+		if other != p {
+			set.Others = append(set.Others, config.Peer{Label: other.label, Addr: other.peerAddr})
+		}
+	}
+	set.External.State, set.External.Cloud = state, cloud
+	cluster := &set.Cluster
+	cluster.Teams = cfg.teams
+	cluster.Workers.ReportS, cluster.Workers.LeaseS, cluster.Workers.CancelS = cfg.report, cfg.lease, cfg.cancel
+	cluster.Workers.GangWaitS, cluster.Workers.GangPeerS = cfg.gangWait, cfg.gangPeer
+	cluster.State.RPS, cluster.State.WriteRPS, cluster.State.TxnOps, cluster.State.ValueKB = 300, 60, 8, 4
+	cluster.Cloud.RPS, cluster.Cloud.ListLagS = 10, 2
+	cluster.Resources.CoreShare, cluster.Resources.RAMMB, cluster.Resources.MaxSockets = 1, 200, 500
+	b, err := json.Marshal(&set)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if err := os.WriteFile(p.settingsFile, b, 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// start runs a controller with the given version.
+func (c *processCluster) start(p *controllerProcess, binary string) {
+	c.t.Helper()
+	command := exec.Command(binary, "--config", p.settingsFile)
+	command.Env = append(os.Environ(), "LOG_LEVEL=error")
+	command.Stderr = os.Stderr
+	if err := command.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	p.command, p.binary, p.ended = command, binary, make(chan error, 1)
+	go func(ended chan<- error) { ended <- command.Wait() }(p.ended)
+}
+
+// kill ends a controller without notice.
+func (c *processCluster) kill(p *controllerProcess) {
+	if p.command == nil {
+		return
+	}
+	if err := p.command.Process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		c.t.Errorf("kill %s: %v", p.label, err)
+	}
+	<-p.ended
+	p.command = nil
+}
+
+// replace kills a controller and starts it anew with the given version.
+func (c *processCluster) replace(p *controllerProcess, binary string) {
+	c.kill(p)
+	c.start(p, binary)
+}
+
+// submitJobs lets users submit arrays of both teams, with numbers from first on.
+func (c *processCluster) submitJobs(first, count int) {
+	c.world.do(func() {
+		for i := first; i < first+count; i++ {
+			job := spec([]string{"red", "blue"}[i%2], 6, 2, 1)
+			c.world.w.user(fmt.Sprintf("job-%06d", i), job, 1)
+		}
+	})
+}
+
+// waitLimit only bounds a broken run.
+const waitLimit = 90 * time.Second
+
+// waitFor waits until a condition on the simulated world holds, as long as no rule breaks.
+func (c *processCluster) waitFor(what string, holds func(w *world) bool) {
+	c.t.Helper()
+	began := time.Now()
+	for end := began.Add(waitLimit); ; time.Sleep(50 * time.Millisecond) {
+		var broken []string
+		held := false
+		c.world.do(func() {
+			broken = append(broken, c.world.w.broken...)
+			held = holds(c.world.w)
+		})
+		if len(broken) > 0 {
+			c.t.Fatalf("%s: rules broken: %v", what, broken)
+		}
+		if held {
+			c.t.Logf("%s: after %.1f s", what, time.Since(began).Seconds())
+			return
+		}
+		if time.Now().After(end) {
+			c.t.Fatalf("%s: not reached within %v", what, waitLimit)
+		}
+	}
+}
+
+// waitForAllJobs waits until every job that was submitted is over.
+func (c *processCluster) waitForAllJobs(what string) {
+	c.t.Helper()
+	c.waitFor(what, func(w *world) bool {
+		for _, j := range w.jobs {
+			if j.told == "" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// mustAllRun checks that no controller has ended by itself.
+func (c *processCluster) mustAllRun() {
+	c.t.Helper()
+	for _, p := range c.processes {
+		select {
+		case err := <-p.ended:
+			p.ended <- err // for kill
+			c.t.Errorf("%s has ended by itself: %v", p.label, err)
+		default:
+		}
+	}
+}
