--- a/internal/allocation/loan.go
+++ b/internal/allocation/preemption.go
@@ -6,72 +6,72 @@
 	"sort"
 )
 
-// Loan is a running task whose room its team may be asked to return: it loses
+// Preemptible is a running task whose room its team may be asked to return: it loses
 // nothing when it is stopped. ID is the caller's.
-type Loan struct {
+type Preemptible struct {
 	ID      int
 	Team    string
 	Machine *Machine
-	Need    Res
+	Need    Resources
 	Low     bool // gives way to urgent units of other teams
 }
 
-// Claim is room that a unit waits for: the loans on a machine that are to end,
+// Preemption is room that a unit waits for: the loans on a machine that are to end,
 // so that one task of the unit fits.
-type Claim struct {
+type Preemption struct {
 	Unit    *Unit
 	Machine *Machine
-	Loans   []Loan
+	Victims []Preemptible
 }
 
-// Return finds what teams must return. A unit within its team's guarantee that
+// Preempt finds what teams must return. A unit within its team's guarantee that
 // fits nowhere gets room from teams that run beyond theirs (deployment page:
 // what is borrowed must be returned), and an urgent unit from low loans. pending
 // counts the tasks of each job that room is on its way for, and at most most
 // claims are made, or those of one gang. A gang gets room for all its tasks, on several machines, or none;
 // some of these may have no loans and are only to be kept for it. It belongs after Run,
 // which has placed what fits.
-func Return(teams []*Team, machines []*Machine, loans []Loan, pending map[string]int, most int) []Claim {
-	byMachine := map[*Machine][]Loan{}
+func Preempt(teams []*Team, machines []*Machine, loans []Preemptible, pending map[string]int, most int) []Preemption {
+	byMachine := map[*Machine][]Preemptible{}
 	for _, l := range loans {
 		byMachine[l.Machine] = append(byMachine[l.Machine], l)
 	}
 	for _, list := range byMachine {
 		sort.SliceStable(list, func(a, b int) bool { return list[a].Need.CPUs > list[b].Need.CPUs })
 	}
-	totals, guarantees := map[string]Res{}, map[string]Res{}
+	totals, guarantees := map[string]Resources{}, map[string]Resources{}
 	for _, t := range teams {
 		totals[t.Name], guarantees[t.Name] = t.total(), t.Guarantee
 	}
 	// beyond tells whether a team still runs beyond its guarantee without some of
 	// its tasks.
-	beyond := func(team string, without Res) bool {
+	beyond := func(team string, without Resources) bool {
 		g, b := guarantees[team], totals[team].Add(without, -1)
-		return b.CPUs > g.CPUs+eps || b.GPUs > g.GPUs+eps
+		return b.CPUs > g.CPUs+epsilon || b.GPUs > g.GPUs+epsilon
 	}
-	var out []Claim
+	var out []Preemption
 	for _, t := range teams {
 		total := t.total()
 		for _, u := range t.Units {
 			if u.Gang {
-				in := t.guaranteed(total, u.ask())
-				if !(in || u.Urgent) || u.Count <= 0 || !t.underLimit(total, u.ask()) {
+				in := t.guaranteed(total, u.total())
+				if !(in || u.Urgent) || u.Count <= 0 || !t.underLimit(total, u.total()) {
 					continue
 				}
-				total = total.Add(u.ask(), 1)
+				total = total.Add(u.total(), 1)
 				if pending[u.Job] > 0 {
 					continue
 				}
-				claims := claimGang(u, machines, byMachine, func(l Loan, taken Res) bool {
+				claims := chooseGangPreemption(u, machines, byMachine, func(l Preemptible, taken Resources) bool {
 					return l.Team != t.Name && beyond(l.Team, taken) && (in || l.Low)
 				})
 				if len(out) > 0 && len(out)+len(claims) > most {
 					continue // one gang at least, however many machines it needs
 				}
 				for _, c := range claims {
-					c.Machine.Keep(u.Job) // nobody else's claim counts on its room
+					c.Machine.Reserve(u.Job) // nobody else's claim counts on its room
 					delete(byMachine, c.Machine)
-					for _, l := range c.Loans {
+					for _, l := range c.Victims {
 						totals[l.Team] = totals[l.Team].Add(l.Need, -1)
 					}
 				}
@@ -89,13 +89,13 @@
 					pending[u.Job]--
 					continue
 				}
-				c, ok := claim(u, machines, byMachine, func(l Loan, taken Res) bool {
+				c, ok := choosePreemption(u, machines, byMachine, func(l Preemptible, taken Resources) bool {
 					return l.Team != t.Name && beyond(l.Team, taken) && (in || l.Low)
 				})
 				if !ok {
 					break
 				}
-				for _, l := range c.Loans {
+				for _, l := range c.Victims {
 					totals[l.Team] = totals[l.Team].Add(l.Need, -1)
 				}
 				delete(byMachine, c.Machine) // one claim a machine at a time
@@ -106,17 +106,17 @@
 	return out
 }
 
-// claim chooses the machine on which the fewest loans have to end for a unit. may
+// choosePreemption chooses the machine on which the fewest loans have to end for a unit. may
 // tells whether a loan may be taken after others of its team.
-func claim(u *Unit, machines []*Machine, loans map[*Machine][]Loan, may func(l Loan, taken Res) bool) (Claim, bool) {
-	best, least := Claim{}, math.Inf(1)
+func choosePreemption(u *Unit, machines []*Machine, loans map[*Machine][]Preemptible, may func(l Preemptible, taken Resources) bool) (Preemption, bool) {
+	best, least := Preemption{}, math.Inf(1)
 	for _, m := range machines {
 		if len(loans[m]) == 0 || !u.Need.Fits(m.Size) || !u.allows(m) {
 			continue
 		}
 		free, cost := m.Free, 0.0
-		var take []Loan
-		taken := map[string]Res{}
+		var take []Preemptible
+		taken := map[string]Resources{}
 		for _, l := range loans[m] {
 			if u.Need.Fits(free) {
 				break
@@ -127,58 +127,58 @@
 				take = append(take, l)
 			}
 		}
-		if len(take) > 0 && u.Need.Fits(free) && cost < least-eps {
-			best, least = Claim{u, m, take}, cost
+		if len(take) > 0 && u.Need.Fits(free) && cost < least-epsilon {
+			best, least = Preemption{u, m, take}, cost
 		}
 	}
 	return best, best.Machine != nil
 }
 
-// gangRoom is what one machine offers a gang: the loans taken so far, and the tasks that
+// gangCandidate is what one machine offers a gang: the loans taken so far, and the tasks that
 // fit once these have ended.
-type gangRoom struct {
-	machine *Machine
-	free    Res
-	loans   []Loan // not taken yet
-	taken   []Loan
-	fits    int
+type gangCandidate struct {
+	machine   *Machine
+	free      Resources
+	remaining []Preemptible // not taken yet
+	victims   []Preemptible
+	fits      int
 }
 
 // next finds the least that has to be taken in addition for one task more to fit. taken is
 // what is taken already, by team.
-func (r *gangRoom) next(need Res, taken map[string]Res, may func(l Loan, taken Res) bool) (loans []Loan, cost float64, ok bool) {
-	free, here := r.free, map[string]Res{}
-	for _, l := range r.loans {
+func (r *gangCandidate) next(need Resources, taken map[string]Resources, may func(l Preemptible, taken Resources) bool) (loans []Preemptible, cost float64, ok bool) {
+	free, here := r.free, map[string]Resources{}
+	for _, l := range r.remaining {
 		if !may(l, taken[l.Team].Add(here[l.Team], 1)) {
 			continue
 		}
 		here[l.Team] = here[l.Team].Add(l.Need, 1)
 		loans = append(loans, l)
 		cost += l.Need.CPUs
-		if free = free.Add(l.Need, 1); need.Times(free) > r.fits {
+		if free = free.Add(l.Need, 1); need.CountIn(free) > r.fits {
 			return loans, cost, true
 		}
 	}
 	return nil, 0, false
 }
 
-// take ends loans in favour of the gang.
-func (r *gangRoom) take(need Res, loans []Loan) {
+// preempt ends tasks in favour of the gang.
+func (r *gangCandidate) preempt(need Resources, loans []Preemptible) {
 	for _, l := range loans {
 		r.free = r.free.Add(l.Need, 1)
-		r.taken = append(r.taken, l)
-		r.loans = slices.DeleteFunc(slices.Clone(r.loans), func(x Loan) bool { return x.ID == l.ID })
+		r.victims = append(r.victims, l)
+		r.remaining = slices.DeleteFunc(slices.Clone(r.remaining), func(x Preemptible) bool { return x.ID == l.ID })
 	}
-	r.fits = need.Times(r.free)
+	r.fits = need.CountIn(r.free)
 }
 
-// claimGang chooses the machines on which the least has to end for a whole gang, in one
+// chooseGangPreemption chooses the machines on which the least has to end for a whole gang, in one
 // zone if it must be in one. may tells whether a loan may be taken after others of its team.
-func claimGang(u *Unit, machines []*Machine, loans map[*Machine][]Loan, may func(l Loan, taken Res) bool) []Claim {
-	var best []Claim
+func chooseGangPreemption(u *Unit, machines []*Machine, loans map[*Machine][]Preemptible, may func(l Preemptible, taken Resources) bool) []Preemption {
+	var best []Preemption
 	least := math.Inf(1)
-	u.inZones(machines, func() bool {
-		if claims, cost := claimGangHere(u, machines, loans, may); claims != nil && cost < least-eps {
+	u.tryZones(machines, func() bool {
+		if claims, cost := gangPreemptionInZone(u, machines, loans, may); claims != nil && cost < least-epsilon {
 			best, least = claims, cost
 		}
 		return false
@@ -186,12 +186,12 @@
 	return best
 }
 
-// claimGangHere is claimGang for the zones that the unit allows at the moment.
-func claimGangHere(u *Unit, machines []*Machine, loans map[*Machine][]Loan, may func(l Loan, taken Res) bool) ([]Claim, float64) {
-	var rooms []*gangRoom
+// gangPreemptionInZone is claimGang for the zones that the unit allows at the moment.
+func gangPreemptionInZone(u *Unit, machines []*Machine, loans map[*Machine][]Preemptible, may func(l Preemptible, taken Resources) bool) ([]Preemption, float64) {
+	var rooms []*gangCandidate
 	for _, m := range machines {
 		if u.Need.Fits(m.Size) && u.allows(m) {
-			rooms = append(rooms, &gangRoom{machine: m, free: m.Free, loans: loans[m], fits: u.Need.Times(m.Free)})
+			rooms = append(rooms, &gangCandidate{machine: m, free: m.Free, remaining: loans[m], fits: u.Need.CountIn(m.Free)})
 		}
 	}
 	fits := func() int {
@@ -204,21 +204,21 @@
 	if u.Spread || fits() >= u.Count {
 		return nil, 0 // by zones, or placed by the next run
 	}
-	taken, total := map[string]Res{}, 0.0
+	taken, total := map[string]Resources{}, 0.0
 	for fits() < u.Count {
-		var chosen *gangRoom
-		var take []Loan
+		var chosen *gangCandidate
+		var take []Preemptible
 		cost := math.Inf(1)
 		for _, r := range rooms {
 			list, c, ok := r.next(u.Need, taken, may)
-			if ok && c < cost-eps {
+			if ok && c < cost-epsilon {
 				chosen, take, cost = r, list, c
 			}
 		}
 		if chosen == nil {
 			return nil, 0
 		}
-		chosen.take(u.Need, take)
+		chosen.preempt(u.Need, take)
 		total += cost
 		for _, l := range take {
 			taken[l.Team] = taken[l.Team].Add(l.Need, 1)
@@ -227,15 +227,15 @@
 	// Machines whose tasks end first, then those with most room: fewest are kept.
 	sort.SliceStable(rooms, func(a, b int) bool {
 		x, y := rooms[a], rooms[b]
-		if (len(x.taken) > 0) != (len(y.taken) > 0) {
-			return len(x.taken) > 0
+		if (len(x.victims) > 0) != (len(y.victims) > 0) {
+			return len(x.victims) > 0
 		}
 		return x.fits > y.fits
 	})
-	var claims []Claim
+	var claims []Preemption
 	for n := 0; n < u.Count; {
 		r := rooms[len(claims)]
-		claims = append(claims, Claim{u, r.machine, r.taken})
+		claims = append(claims, Preemption{u, r.machine, r.victims})
 		n += r.fits
 	}
 	return claims, total
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -131,12 +131,12 @@
 }
 
 const (
-	keyRoster = statestore.Root + "r/"
-	keyType   = statestore.Root + "t/"
+	keyMachines = statestore.Root + "r/"
+	keyType     = statestore.Root + "t/"
 )
 
-// rosterEntry is the durable record of a machine that may get tasks.
-type rosterEntry struct {
+// machineRecord is the durable record of a machine that may get tasks.
+type machineRecord struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Zone     string
 	Spot     bool
@@ -151,85 +151,85 @@
 
 // Core is the state machine. It has no clock, no I/O and no locks.
 type Core struct {
-	set   *config.Settings
-	ops   *config.Operator
-	now   Now
-	out   []any
-	teams map[string]*config.Team
-
-	store *statestore.Store
-	own   *ownership.Node
-	book  *jobs.Book
-	pool  *workers.Pool
-	fleet *fleet.Manager
-
-	active  map[string]uint64             // class -> term that we act on
-	on      map[string]*host              // machine -> what is placed on it
-	booked  map[string]map[string]booking // team -> class -> what is placed
-	roster  map[string]rosterEntry
-	records *statestore.Pack // the roster's keys
-	counter uint64           // attempts given out
+	settings *config.Settings
+	operator *config.Operator
+	now      Now
+	out      []any
+	teams    map[string]*config.Team
+
+	store     *statestore.Store
+	ownership *ownership.Node
+	jobs      *jobs.Registry
+	pool      *workers.Pool
+	fleet     *fleet.Manager
+
+	active         map[string]uint64           // class -> term that we act on
+	loads          map[string]*machineLoad     // machine -> what is placed on it
+	booked         map[string]map[string]usage // team -> class -> what is placed
+	machineRecords map[string]machineRecord
+	machineTable   *statestore.RecordTable // the roster's keys
+	attemptCounter uint64                  // attempts given out
 	// lastReport is when a worker's report last counted, backAt when one last came
 	// after a time without any, and newcomer when a machine last found this owner.
-	lastReport, backAt, newcomer time.Duration
+	lastReport, reportsResumedAt, lastNewMachine time.Duration
 	// lastKnock is when a report for our classes last arrived, answered or not,
 	// lastVisit when one for classes of others did, and desertedAt when this node
 	// last handed its classes over. visits is when peers last told of theirs.
-	lastKnock, lastVisit, desertedAt time.Duration
-	visits                           map[string]time.Duration
-	nextVisits                       time.Duration
-
-	regroup bool // what decides on Active and Frozen may have changed
-	// reported is room for sync's look at one report.
-	reported map[attempt]bool
-	numbers  map[uint64]bool
-	// offer is what the last look at all machines left waiting, for the room that
+	lastArrival, lastForeignArrival, handedOverAt time.Duration
+	foreignArrivals                               map[string]time.Duration
+	nextArrivalQuery                              time.Duration
+
+	jobsChanged bool // what decides on Active and Frozen may have changed
+	// reported and reportedAttempts are room for reconcile's look at one report.
+	reported         map[attempt]bool
+	reportedAttempts map[uint64]bool
+	// round is what the last look at all machines left waiting, for the room that
 	// a single report frees; nil when it may be wrong.
-	offer     *offer
-	nextOffer time.Duration
-	// claimed are machines on which tasks end to make room for others.
-	claimed    map[string]*claimed
-	nextClaims time.Duration
-	// orders are those under way; touched are machines with new plans.
-	orders    map[uint64]*order
-	lastOrder uint64
-	asks      int // of orders, those without commands
-	touched   []string
+	round     *schedulingRound
+	nextRound time.Duration
+	// preemptions are machines on which tasks end to make room for others.
+	preemptions    map[string]*preemption
+	nextPreemption time.Duration
+	// directCalls are those under way; touched are machines with new plans.
+	directCalls     map[uint64]*directCall
+	lastDirectCall  uint64
+	probesInFlight  int // of orders, those without commands
+	plannedMachines []string
 	// The order of jobs, kept for a moment.
-	sorted    []*jobs.Job
-	sortedAt  time.Duration
-	resort    bool
-	dirty     bool // the allocation has something new to decide on
-	nextRun   time.Duration
-	nextTell  time.Duration
-	nextPlan  time.Duration
-	nextProbe time.Duration
-	// othersReach is when a peer last reached the state service while we didn't.
-	othersReach time.Duration
-	nextUse     time.Duration
-	told        map[string][2]int
-	// notices are cancellations of which the owners of classes were not told yet.
-	notices    map[string]map[string]bool
-	nextNotice time.Duration
+	sorted            []*jobs.Job
+	sortedAt          time.Duration
+	sortStale         bool
+	dirty             bool // the allocation has something new to decide on
+	nextMachineCheck  time.Duration
+	nextCountsMessage time.Duration
+	nextFleetPlan     time.Duration
+	nextProbe         time.Duration
+	// peerReachedStoreAt is when a peer last reached the state service while we didn't.
+	peerReachedStoreAt time.Duration
+	nextUsageLog       time.Duration
+	toldCounts         map[string][2]int
+	// cancelNotices are cancellations of which the owners of classes were not told yet.
+	cancelNotices map[string]map[string]bool
+	nextNotice    time.Duration
 	// reserved are machines that take only gangs, and gangPeak how many CPUs those that
 	// should start soon have lately asked for.
-	reserved    map[string]bool
-	gangPeak    float64
-	gangsAt     time.Duration
-	nextReserve time.Duration
-	relief      map[string]bool // classes whose machines keep small tasks off scarce ones
-	typesSaved  map[string]bool
-	savingTypes bool
-	recorded    map[string]bool // machines whose record as up was wished for
-	nextRoster  time.Duration
-	waiting     map[string]bool // classes taken over with machines still unresolved
+	reserved        map[string]bool
+	gangDemand      float64
+	gangDemandAt    time.Duration
+	nextReserve     time.Duration
+	keepIdle        map[string]bool // classes whose machines keep small tasks off scarce ones
+	typesSaved      map[string]bool
+	savingTypes     bool
+	recordRequested map[string]bool // machines whose record as up was wished for
+	nextRecordScan  time.Duration
+	resolving       map[string]bool // classes taken over with machines still unresolved
 }
 
 // NewCore makes the state machine. random names this life of the process.
 func NewCore(set *config.Settings, ops *config.Operator, now Now, random uint64) *Core {
-	c := &Core{set: set, ops: ops, now: now, teams: map[string]*config.Team{},
-		active: map[string]uint64{}, reported: map[attempt]bool{}, numbers: map[uint64]bool{}, orders: map[uint64]*order{}, claimed: map[string]*claimed{}, on: map[string]*host{}, booked: map[string]map[string]booking{}, roster: map[string]rosterEntry{},
-		visits: map[string]time.Duration{}, told: map[string][2]int{}, notices: map[string]map[string]bool{}, reserved: map[string]bool{}, relief: map[string]bool{}, typesSaved: map[string]bool{}, recorded: map[string]bool{}, waiting: map[string]bool{}}
+	c := &Core{settings: set, operator: ops, now: now, teams: map[string]*config.Team{},
+		active: map[string]uint64{}, reported: map[attempt]bool{}, reportedAttempts: map[uint64]bool{}, directCalls: map[uint64]*directCall{}, preemptions: map[string]*preemption{}, loads: map[string]*machineLoad{}, booked: map[string]map[string]usage{}, machineRecords: map[string]machineRecord{},
+		foreignArrivals: map[string]time.Duration{}, toldCounts: map[string][2]int{}, cancelNotices: map[string]map[string]bool{}, reserved: map[string]bool{}, keepIdle: map[string]bool{}, typesSaved: map[string]bool{}, recordRequested: map[string]bool{}, resolving: map[string]bool{}}
 	for i := range set.Cluster.Teams {
 		c.teams[set.Cluster.Teams[i].Name] = &set.Cluster.Teams[i]
 	}
@@ -238,21 +238,21 @@
 	changes, valueKB := cl.StateSizes()
 	c.store = statestore.New(cl.State.RPS, cl.State.WriteRPS, changes, valueKB)
 	if n := cl.State.Next; n != nil {
-		c.store.NextWrites(n.WriteRPS)
+		c.store.AnnounceWriteRate(n.WriteRPS)
 	}
 	var others []string
 	for _, p := range set.Others {
 		others = append(others, p.Label)
 	}
-	blind := ownership.Blind(limits.Seconds(cl.Workers.CancelS), limits.Seconds(cl.Workers.LeaseS))
-	c.own = ownership.New(set.Label, others, random, now.Steady, blind, c.store, c.log)
-	c.book = jobs.New(c.store, c.own.Guard, c.own.Format, c.log)
-	c.records = statestore.NewPack(c.store, keyRoster, c.own.Guard, c.applyRoster)
+	blind := ownership.MaxStaleness(limits.Seconds(cl.Workers.CancelS), limits.Seconds(cl.Workers.LeaseS))
+	c.ownership = ownership.New(set.Label, others, random, now.Steady, blind, c.store, c.log)
+	c.jobs = jobs.New(c.store, c.ownership.Guard, c.ownership.Format, c.log)
+	c.machineTable = statestore.NewRecordTable(c.store, keyMachines, c.ownership.Guard, c.applyMachineRecord)
 	c.pool = workers.New(cl.Workers.LeaseS, cl.Workers.ReportS)
-	c.fleet = fleet.New(cl.Cloud.RPS, cl.Cloud.ListLagS, hirePrefix(set.Label, random), c.log)
-	c.fleet.Gone = c.machineGone
-	c.fleet.Patience = c.pool.SilentFor()
-	c.fleet.Round = c.pool.Report*5/4 + limits.TakeoverSlack
+	c.fleet = fleet.New(cl.Cloud.RPS, cl.Cloud.ListLagS, rentalPrefix(set.Label, random), c.log)
+	c.fleet.OnGone = c.machineGone
+	c.fleet.ReportWithin = c.pool.SilentFor()
+	c.fleet.TakeoverRound = c.pool.Report*5/4 + limits.TakeoverSlack
 	return c
 }
 
@@ -262,15 +262,15 @@
 
 // Step takes one input and returns what to do about it.
 func (c *Core) Step(now Now, in any) []any {
-	if now.Steady-c.now.Steady > limits.SleptAfter {
-		c.slept(now.Steady)
+	if now.Steady-c.now.Steady > limits.PauseThreshold {
+		c.resumeAfterPause(now.Steady)
 	}
 	if now.Steady > c.now.Steady {
 		c.now.Steady = now.Steady
 	}
 	c.now.Unix = now.Unix
 	t := c.now.Steady
-	c.own.Advance(t)
+	c.ownership.Advance(t)
 	c.store.Advance(t)
 	switch x := in.(type) {
 	case Submit:
@@ -288,29 +288,29 @@
 		return c.flush()
 	case StoreReply:
 		c.store.Reply(t, x.ID, x.Status, x.Body)
-	case OrderReply:
-		c.ordered(x)
+	case DirectReply:
+		c.directReplied(x)
 		return c.flush()
 	case CloudReply:
 		c.fleet.Reply(t, x.ID, x.Status, x.Body)
 	case PeerReply:
-		c.peerAnswered(x)
+		c.peerReplied(x)
 	case PeerRequest:
-		c.peer(x)
+		c.answerPeer(x)
 	}
 	c.advance()
 	return c.flush()
 }
 
-// slept takes note that this node stood still until now: what it did not hear
+// resumeAfterPause takes note that this node stood still until now: what it did not hear
 // meanwhile waits to be read, so nobody's silence counts, and it decides on nothing
 // before. Guards against machines that a node returned, and classes that it handed
 // over, as soon as it went on.
-func (c *Core) slept(t time.Duration) {
+func (c *Core) resumeAfterPause(t time.Duration) {
 	c.log("info", "stood still", "for", t-c.now.Steady)
-	c.lastKnock, c.lastReport = t, t
-	c.backAt, c.newcomer = t, t
-	c.nextRun, c.nextPlan = t+limits.TickEvery, t+limits.PlanEvery
+	c.lastArrival, c.lastReport = t, t
+	c.reportsResumedAt, c.lastNewMachine = t, t
+	c.nextMachineCheck, c.nextFleetPlan = t+limits.TickInterval, t+limits.PlanInterval
 }
 
 func (c *Core) flush() []any {
@@ -327,58 +327,58 @@
 // on each other.
 func (c *Core) advance() {
 	t := c.now.Steady
-	c.follow()
-	c.share()
-	c.own.Tick(t, c.fleet.Classes(), c.demand)
-	if c.deserted() {
-		c.own.HandOver(c.visited())
-		c.desertedAt = t
+	c.applyChanges()
+	c.divideBudget()
+	c.ownership.Tick(t, c.fleet.Classes(), c.demand)
+	if c.workersUnreachable() {
+		c.ownership.Handover(c.reachableSuccessor())
+		c.handedOverAt = t
 	}
 	c.followClaims()
 	c.manageMachines()
-	c.activateJobs()
-	c.tendGangs()
-	may := c.own.MayLaunch()
+	c.updateActiveJobs()
+	c.updateGangs()
+	may := c.ownership.MayLaunch()
 	if may && len(c.active) > 0 {
-		c.writeRoster()
+		c.writeMachineRecords()
 		c.allocate()
-		if t >= c.nextPlan {
-			c.nextPlan = t + limits.PlanEvery
+		if t >= c.nextFleetPlan {
+			c.nextFleetPlan = t + limits.PlanInterval
 			c.planFleet()
 		}
 	}
-	c.book.Tick(t, c.now.Unix, may && len(c.active) > 0, func(j *jobs.Job) bool { return !j.Frozen })
-	c.tellPeers()
-	c.tellOwners()
+	c.jobs.Tick(t, c.now.Unix, may && len(c.active) > 0, func(j *jobs.Job) bool { return !j.Frozen })
+	c.messagePeers()
+	c.notifyOwners()
 	for _, call := range c.store.Tick(t) {
 		c.out = append(c.out, call)
 	}
-	for _, call := range c.fleet.Tick(t, may && len(c.active) > 0, len(c.own.Owners())) {
+	for _, call := range c.fleet.Tick(t, may && len(c.active) > 0, len(c.ownership.Owners())) {
 		c.out = append(c.out, call)
 	}
 }
 
-// follow passes the mirror's changes to the slices.
-func (c *Core) follow() {
-	for _, ch := range c.store.Mirror.Take() {
-		c.own.Apply(ch)
-		c.book.Apply(ch)
-		c.records.Apply(ch)
+// applyChanges passes the mirror's changes to the slices.
+func (c *Core) applyChanges() {
+	for _, ch := range c.store.Mirror.TakeChanges() {
+		c.ownership.Apply(ch)
+		c.jobs.Apply(ch)
+		c.machineTable.Apply(ch)
 		c.applyType(ch)
 		c.dirty = true
-		if !strings.HasPrefix(ch.Key, keyRoster) && !c.book.Progress(ch.Key) {
-			c.regroup = true
+		if !strings.HasPrefix(ch.Key, keyMachines) && !c.jobs.IsDoneSet(ch.Key) {
+			c.jobsChanged = true
 		}
 	}
 }
 
-// share divides the budget of the state service: an owner writes more than the
+// divideBudget divides the budget of the state service: an owner writes more than the
 // others, who only take in what users ask.
-func (c *Core) share() {
-	owners := c.own.Owners()
-	n := float64(len(c.set.Others) + 1)
+func (c *Core) divideBudget() {
+	owners := c.ownership.Owners()
+	n := float64(len(c.settings.Others) + 1)
 	if len(owners) == 0 {
-		c.store.Share(1/n, 1/n)
+		c.store.SetShare(1/n, 1/n)
 		return
 	}
 	part := func(weight float64) float64 {
@@ -388,20 +388,20 @@
 			}
 			return 1
 		}
-		sum := of(c.set.Label)
-		for _, p := range c.set.Others {
+		sum := of(c.settings.Label)
+		for _, p := range c.settings.Others {
 			sum += of(p.Label)
 		}
-		return of(c.set.Label) / sum
+		return of(c.settings.Label) / sum
 	}
-	c.store.Share(part(limits.OwnerWeight), part(limits.OwnerWrites))
+	c.store.SetShare(part(limits.OwnerWeight), part(limits.OwnerWrites))
 }
 
 // demand tells which classes each team's unfinished jobs may use. A cancelled
 // job counts until none of its tasks is left: it still takes of the limit.
 func (c *Core) demand() ownership.Demand {
 	d := ownership.Demand{}
-	for _, j := range c.book.Open {
+	for _, j := range c.jobs.Open {
 		set := d[j.Team]
 		if set == nil {
 			set = map[string]bool{}
@@ -416,30 +416,31 @@
 
 // followClaims starts and ends acting for classes.
 func (c *Core) followClaims() {
-	claims := c.own.Claims()
+	claims := c.ownership.Claims()
 	for class, term := range c.active {
 		if cl := claims[class]; cl == nil || cl.Term != term {
 			delete(c.active, class)
 			c.leaveClass(class)
-			c.records.Forget(class)
-			c.book.Forget(class)
-			clear(c.recorded)
+			c.machineTable.Forget(class)
+			c.jobs.DropPending(class)
+			clear(c.recordRequested)
 		}
 	}
-	for class, cl := range claims {
+	for _, class := range slices.Sorted(maps.Keys(claims)) {
+		cl := claims[class]
 		if _, ok := c.active[class]; ok {
 			continue
 		}
 		c.active[class] = cl.Term
-		c.waiting[class] = true
-		c.dirty, c.regroup = true, true
-		c.told = nil
-		for id, e := range c.roster {
+		c.resolving[class] = true
+		c.dirty, c.jobsChanged = true, true
+		c.toldCounts = nil
+		for id, e := range c.machineRecords {
 			if e.Class == class {
 				if e.Up {
 					c.pool.Expect(id, e.Class, e.Zone, e.Spot, cl.Since).Address = e.Address
 				}
-				if r := c.fleet.Know(id, fleet.Kind{Class: e.Class, Zone: e.Zone, Spot: e.Spot}, c.now.Steady-c.age(float64(e.At))); r != nil {
+				if r := c.fleet.Track(id, fleet.Kind{Class: e.Class, Zone: e.Zone, Spot: e.Spot}, c.now.Steady-c.age(float64(e.At))); r != nil {
 					r.WasUp = e.Up
 				}
 			}
@@ -464,35 +465,35 @@
 			delete(c.fleet.Rentals, id)
 		}
 	}
-	c.dirty, c.regroup = true, true
+	c.dirty, c.jobsChanged = true, true
 }
 
 // clearMachine takes all places on a machine away.
 func (c *Core) clearMachine(id string) {
-	if h := c.on[id]; h != nil {
-		for _, p := range h.tasks {
-			c.take(p.job, p.task)
+	if h := c.loads[id]; h != nil {
+		for _, task := range h.taskIDs() {
+			c.unassign(h.tasks[task].job, h.tasks[task].task)
 		}
-		delete(c.on, id)
+		delete(c.loads, id)
 	}
-	c.dirty, c.regroup = true, true
+	c.dirty, c.jobsChanged = true, true
 }
 
-// activateJobs marks the jobs whose classes we all own. A job that an earlier
+// updateActiveJobs marks the jobs whose classes we all own. A job that an earlier
 // owner may have launched is frozen until every machine in the roster that
 // could run it is resolved.
-func (c *Core) activateJobs() {
-	if !c.regroup {
+func (c *Core) updateActiveJobs() {
+	if !c.jobsChanged {
 		return
 	}
-	c.regroup = false
+	c.jobsChanged = false
 	unresolved := map[string]bool{}
 	for id, m := range c.pool.Machines {
-		if c.roster[id].Up && !m.Resolved() {
+		if c.machineRecords[id].Up && !m.Resolved() {
 			unresolved[m.Class] = true
 		}
 	}
-	for _, j := range c.book.Open {
+	for _, j := range c.jobs.Open {
 		all := len(j.Types) > 0
 		for _, class := range j.Types {
 			if _, ok := c.active[class]; !ok {
@@ -503,7 +504,7 @@
 		if all && !j.Active {
 			j.Frozen = j.Launched()
 			j.Prepared = false
-			j.Start = jobs.GangStart{}
+			j.GangRun = jobs.GangRun{}
 		}
 		j.Active = all
 		if all && j.Frozen {
@@ -513,29 +514,29 @@
 			}
 		}
 		if j.Active != was || j.Frozen != wasFrozen {
-			c.resort = true
+			c.sortStale = true
 			if j.Launched() {
-				c.offer = nil // what may run unseen has changed
+				c.round = nil // what may run unseen has changed
 			}
 		}
 	}
-	for class := range c.waiting {
+	for class := range c.resolving {
 		if !unresolved[class] {
-			delete(c.waiting, class)
+			delete(c.resolving, class)
 			c.log("info", "every machine of the class accounted for", "class", class, "term", c.active[class])
 		}
 	}
 }
 
-// applyRoster follows the roster's records.
-func (c *Core) applyRoster(id, class string, value msgpack.RawMessage, gone bool) {
-	var e rosterEntry
+// applyMachineRecord follows the roster's records.
+func (c *Core) applyMachineRecord(id, class string, value msgpack.RawMessage, gone bool) {
+	var e machineRecord
 	switch {
 	case gone:
-		delete(c.roster, id)
+		delete(c.machineRecords, id)
 	case wire.Decode(value, &e) == nil:
 		e.Class = class
-		c.roster[id] = e
+		c.machineRecords[id] = e
 	}
 }
 
@@ -553,43 +554,44 @@
 	}
 }
 
-// writeRoster records machines before their first launch, drops those that are
+// writeMachineRecords records machines before their first launch, drops those that are
 // gone, and keeps the machine types for starts while the cloud is down.
-func (c *Core) writeRoster() {
-	if c.now.Steady < c.nextRoster {
+func (c *Core) writeMachineRecords() {
+	if c.now.Steady < c.nextRecordScan {
 		return
 	}
-	c.nextRoster = c.now.Steady + limits.LookEvery
-	entry := func(k fleet.Kind, since time.Duration, up bool, address string) rosterEntry {
-		return rosterEntry{Address: address, Zone: k.Zone, Spot: k.Spot, At: int64(c.now.Unix - (c.now.Steady - since).Seconds()), Up: up}
+	c.nextRecordScan = c.now.Steady + limits.ScanInterval
+	entry := func(k fleet.Kind, since time.Duration, up bool, address string) machineRecord {
+		return machineRecord{Address: address, Zone: k.Zone, Spot: k.Spot, At: int64(c.now.Unix - (c.now.Steady - since).Seconds()), Up: up}
 	}
 	for _, m := range c.pool.Sorted() {
-		if !c.roster[m.ID].Up && !m.Deleting && m.Adopted && !c.recorded[m.ID] {
+		if !c.machineRecords[m.ID].Up && !m.Deleting && m.Adopted && !c.recordRequested[m.ID] {
 			since := c.now.Steady
 			if r := c.fleet.Rentals[m.ID]; r != nil {
 				since = r.Since
 			}
-			c.recorded[m.ID] = true
-			c.records.Set(m.Class, m.ID, entry(fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, since, true, m.Address), 0)
+			c.recordRequested[m.ID] = true
+			c.machineTable.Set(m.Class, m.ID, entry(kindOf(m), since, true, m.Address), 0)
 		}
 	}
-	for id, r := range c.fleet.Rentals {
-		if _, listed := c.roster[id]; listed || r.Deleted || r.Up || r.Listed != "" || c.recorded[id] {
+	for _, id := range slices.Sorted(maps.Keys(c.fleet.Rentals)) {
+		r := c.fleet.Rentals[id]
+		if _, listed := c.machineRecords[id]; listed || r.Deleted || r.Up || r.Listed != "" || c.recordRequested[id] {
 			continue
 		}
 		if _, ok := c.active[r.Kind.Class]; ok {
 			// Booting: a successor then knows what is on its way before the
 			// lists do, and rents nothing twice.
-			c.records.Set(r.Kind.Class, id, entry(r.Kind, r.Since, false, ""), limits.PackLater)
+			c.machineTable.Set(r.Kind.Class, id, entry(r.Kind, r.Since, false, ""), limits.PageDelay)
 		}
 	}
-	for id, e := range c.roster {
+	for id, e := range c.machineRecords {
 		if _, ok := c.active[e.Class]; ok && c.fleet.IsGone(id) {
-			delete(c.recorded, id)
-			c.records.Remove(id, limits.PackLater)
+			delete(c.recordRequested, id)
+			c.machineTable.Remove(id, limits.PageDelay)
 		}
 	}
-	c.records.Write()
+	c.machineTable.Write()
 	c.writeTypes()
 }
 
@@ -598,11 +600,12 @@
 		return
 	}
 	var t wire.Txn
-	for name, mt := range c.fleet.Types {
+	for _, name := range c.fleet.Classes() {
+		mt := c.fleet.Types[name]
 		if _, ok := c.active[name]; ok && !c.typesSaved[name] && len(t.Then) < c.store.MaxWrites() {
 			key := keyType + name
 			e, _ := c.store.Mirror.Get(key)
-			t.Guards = append(t.Guards, c.own.Guard(name), wire.Guard{Key: key, Version: e.Version})
+			t.Guards = append(t.Guards, c.ownership.Guard(name), wire.Guard{Key: key, Version: e.Version})
 			t.Then = append(t.Then, wire.Op{Key: key, Value: mt})
 		}
 	}
@@ -624,37 +627,37 @@
 func (c *Core) machineGone(id string) {
 	c.clearMachine(id)
 	c.pool.Drop(id)
-	c.dirty, c.regroup = true, true
+	c.dirty, c.jobsChanged = true, true
 }
 
-func (c *Core) tellPeers() {
+func (c *Core) messagePeers() {
 	t := c.now.Steady
-	if c.own.WantPromises() {
-		for _, p := range c.set.Others {
-			c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.set.Label, Promise: true, Terms: c.own.Terms()}})
+	if c.ownership.NeedsExtension() {
+		for _, p := range c.settings.Others {
+			c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.settings.Label, Promise: true, Terms: c.ownership.Terms()}})
 		}
 	}
 	if c.store.Down() && t >= c.nextProbe {
-		c.nextProbe = t + limits.PromiseEvery
-		for _, p := range c.set.Others {
-			c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.set.Label, Probe: true}})
+		c.nextProbe = t + limits.ExtensionInterval
+		for _, p := range c.settings.Others {
+			c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.settings.Label, Probe: true}})
 		}
 	}
 	// An owner that its workers don't reach looks for a node that they do reach.
-	if len(c.active) > 0 && t-max(c.lastKnock, c.backAt) > c.quiet()/2 && t >= c.nextVisits {
-		c.nextVisits = t + limits.PromiseEvery
-		for _, p := range c.set.Others {
-			c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.set.Label, Visited: true}})
+	if len(c.active) > 0 && t-max(c.lastArrival, c.reportsResumedAt) > c.maxReportGap()/2 && t >= c.nextArrivalQuery {
+		c.nextArrivalQuery = t + limits.ExtensionInterval
+		for _, p := range c.settings.Others {
+			c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.settings.Label, Visited: true}})
 		}
 	}
-	if t < c.nextTell || len(c.active) == 0 {
+	if t < c.nextCountsMessage || len(c.active) == 0 {
 		return
 	}
-	c.nextTell = t + limits.ProgressEvery
+	c.nextCountsMessage = t + limits.CountsInterval
 	counts := map[string][2]int{}
 	seen := map[string][2]int{}
 	var faulty []string
-	for id, j := range c.book.Open {
+	for id, j := range c.jobs.Open {
 		if !j.Active {
 			continue
 		}
@@ -663,93 +666,93 @@
 		}
 		v := [2]int{j.DoneCount, j.Running()}
 		seen[id] = v
-		if c.told[id] != v {
+		if c.toldCounts[id] != v {
 			counts[id] = v
 		}
 	}
-	first := c.told == nil // a new owner also asks which jobs are faulty
-	c.told = seen
+	first := c.toldCounts == nil // a new owner also asks which jobs are faulty
+	c.toldCounts = seen
 	if len(counts) == 0 && len(faulty) == 0 && !first {
 		return
 	}
 	slices.Sort(faulty)
-	for _, p := range c.set.Others {
-		c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.set.Label, Counts: counts, Faulty: faulty}})
+	for _, p := range c.settings.Others {
+		c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.settings.Label, Counts: counts, Faulty: faulty}})
 	}
 }
 
-func (c *Core) peer(x PeerRequest) {
+func (c *Core) answerPeer(x PeerRequest) {
 	if x.Msg.Probe {
 		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: PeerAnswer{Yes: c.store.Mirror.Loaded && !c.store.Down()}})
 		return
 	}
 	if x.Msg.Visited {
-		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: PeerAnswer{Yes: c.lastVisit > 0 && c.now.Steady-c.lastVisit < limits.VisitedFor}})
+		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: PeerAnswer{Yes: c.lastForeignArrival > 0 && c.now.Steady-c.lastForeignArrival < limits.ForeignArrivalFor}})
 		return
 	}
 	if x.Msg.Promise {
-		a := PeerAnswer{Yes: c.own.AskPromise(c.now.Steady, x.Msg.Terms), Vouch: c.store.Mirror.Loaded, Behind: c.now.Steady - c.store.Mirror.Known}
+		a := PeerAnswer{Yes: c.ownership.GrantExtension(c.now.Steady, x.Msg.Terms), Vouch: c.store.Mirror.Loaded, Behind: c.now.Steady - c.store.Mirror.KnownThrough}
 		if a.Vouch {
-			a.Cancelled = c.book.Cancellations()
+			a.Cancelled = c.jobs.Cancellations()
 		}
 		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: a})
 		return
 	}
-	c.learn(x.Msg.Cancelled)
+	c.mergeCancellations(x.Msg.Cancelled)
 	for id, v := range x.Msg.Counts {
-		c.book.Shown(id, v[0], v[1])
+		c.jobs.SetDisplayCounts(id, v[0], v[1])
 	}
 	// Guards against a faulty job that got its first wave of tasks again from every owner.
-	c.book.Suspect(x.Msg.Faulty)
-	c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: PeerAnswer{Yes: true, Faulty: c.book.Suspects(x.Msg.Faulty)}})
+	c.jobs.Suspect(x.Msg.Faulty)
+	c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: PeerAnswer{Yes: true, Faulty: c.jobs.Suspects(x.Msg.Faulty)}})
 }
 
-// peerAnswered takes in what came of a message to a peer.
-func (c *Core) peerAnswered(x PeerReply) {
+// peerReplied takes in what came of a message to a peer.
+func (c *Core) peerReplied(x PeerReply) {
 	peer, a := x.Call.Peer, x.Answer
 	switch m := x.Call.Msg; {
 	case m.Visited:
 		if a.Yes {
-			c.visits[peer] = c.now.Steady
+			c.foreignArrivals[peer] = c.now.Steady
 		}
 	case m.Probe:
 		if a.Yes {
-			c.othersReach = c.now.Steady
+			c.peerReachedStoreAt = c.now.Steady
 		}
 	case m.Promise:
-		c.learn(a.Cancelled)
-		c.own.Vouched(peer, x.Call.Sent, a.Vouch, a.Behind)
-		c.own.Promised(peer, x.Call.Sent, a.Yes)
+		c.mergeCancellations(a.Cancelled)
+		c.ownership.RecordPeerCancellations(peer, x.Call.Sent, a.Vouch, a.Behind)
+		c.ownership.RecordExtension(peer, x.Call.Sent, a.Yes)
 	case a.Yes:
-		c.book.Suspect(a.Faulty)
+		c.jobs.Suspect(a.Faulty)
 		for _, id := range m.Cancelled {
-			delete(c.notices[peer], id)
+			delete(c.cancelNotices[peer], id)
 		}
 	}
 }
 
-// learn takes in cancellations that a peer knows of.
-func (c *Core) learn(ids []string) {
-	if c.book.Learn(c.now.Steady, ids) {
-		c.dirty, c.regroup = true, true
+// mergeCancellations takes in cancellations that a peer knows of.
+func (c *Core) mergeCancellations(ids []string) {
+	if c.jobs.MergeCancellations(c.now.Steady, ids) {
+		c.dirty, c.jobsChanged = true, true
 	}
 }
 
-// tellOwners passes cancellations that became known here straight to the owners of
+// notifyOwners passes cancellations that became known here straight to the owners of
 // classes, until they acknowledge them: an owner that the state service refuses can't
 // see them, and goes on starting tasks of those jobs.
-func (c *Core) tellOwners() {
+func (c *Core) notifyOwners() {
 	t := c.now.Steady
-	if ids := c.book.News(); len(ids) > 0 {
-		for owner := range c.own.Owners() {
-			if owner == c.set.Label {
+	if ids := c.jobs.TakeNewCancellations(); len(ids) > 0 {
+		for owner := range c.ownership.Owners() {
+			if owner == c.settings.Label {
 				continue
 			}
-			if c.notices[owner] == nil {
-				c.notices[owner] = map[string]bool{}
+			if c.cancelNotices[owner] == nil {
+				c.cancelNotices[owner] = map[string]bool{}
 			}
 			for _, id := range ids {
-				c.notices[owner][id] = true
+				c.cancelNotices[owner][id] = true
 			}
 		}
 		c.nextNotice = t
@@ -757,17 +760,17 @@
 	if t < c.nextNotice {
 		return
 	}
-	c.nextNotice = t + limits.PromiseEvery
-	owners := c.own.Owners()
-	for _, p := range c.set.Others {
-		ids := c.notices[p.Label]
+	c.nextNotice = t + limits.ExtensionInterval
+	owners := c.ownership.Owners()
+	for _, p := range c.settings.Others {
+		ids := c.cancelNotices[p.Label]
 		if len(ids) == 0 {
 			continue
 		}
 		if !owners[p.Label] { // its successor has read them
-			delete(c.notices, p.Label)
+			delete(c.cancelNotices, p.Label)
 			continue
 		}
-		c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.set.Label, Cancelled: slices.Sorted(maps.Keys(ids))}})
+		c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.settings.Label, Cancelled: slices.Sorted(maps.Keys(ids))}})
 	}
 }
--- /dev/null
+++ b/internal/controller/direct.go
@@ -0,0 +1,225 @@
+package controller
+
+import (
+	"time"
+
+	"umberpaddle/internal/jobs"
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/wire"
+	"umberpaddle/internal/workers"
+)
+
+// DirectCall is a message straight to a worker, DirectReply what came of it. Unsent
+// tells that no connection was made: the worker certainly got nothing.
+type (
+	// DirectCall is launches for a worker that need not wait for its next report. It
+	// must not leave after Until.
+	DirectCall struct {
+		ID      uint64
+		Address string
+		Body    wire.Orders
+		Until   time.Duration
+	}
+	// DirectReply is the answer to an DirectCall; status 0 is none.
+	DirectReply struct {
+		ID     uint64
+		Status int
+		Body   []byte
+		Unsent bool
+	}
+)
+
+// directCall is an DirectCall under way.
+type directCall struct {
+	machine  string
+	session  uint64
+	term     uint64
+	tasks    []taskRef
+	attempts []uint64 // their attempts
+	probe    bool     // without commands: what does the machine run?
+}
+
+// sendDirectLaunches tells machines at once what was planned for them. Unlike an answer
+// to a report, an order may be executed at any later time while token and session
+// match. So until it is answered, a report without its attempts proves nothing,
+// and one that is never answered counts as possible for the whole session.
+func (c *Core) sendDirectLaunches() {
+	t := c.now.Steady
+	for _, id := range c.plannedMachines {
+		m, h := c.pool.Machines[id], c.loads[id]
+		if m == nil || h == nil || h.planned == 0 || m.DirectInFlight || m.Address == "" || len(c.directCalls)-c.probesInFlight >= limits.DirectInFlight ||
+			!m.Usable(t, c.pool.Report) || !c.machineRecords[id].Up || t-m.LastReport > c.pool.Report+limits.DirectSlack {
+			continue
+		}
+		o := &directCall{machine: id, session: m.Session, term: m.Term}
+		var cmds []wire.Command
+		for _, task := range h.plannedTaskIDs() {
+			p := h.tasks[task]
+			if len(cmds) >= limits.MaxCommands || p.job.Cancelled {
+				continue // goes, or is taken back, with the next report
+			}
+			pl := p.job.Assigned[p.task]
+			pl.State, pl.Delivery, pl.Session = jobs.Sent, jobs.DirectPending, m.Session
+			c.assign(p.job, p.task, pl)
+			o.tasks = append(o.tasks, p)
+			o.attempts = append(o.attempts, pl.Attempt)
+			m.DirectSince[pl.Attempt] = t
+			cmds = append(cmds, wire.Command{Verb: wire.VerbLaunch, Task: task, Attempt: pl.Attempt})
+		}
+		if len(cmds) == 0 {
+			continue
+		}
+		m.DirectInFlight = true
+		c.lastDirectCall++
+		c.directCalls[c.lastDirectCall] = o
+		c.out = append(c.out, DirectCall{ID: c.lastDirectCall, Address: m.Address, Body: wire.Orders{Token: m.Term, Session: m.Session, Commands: cmds}, Until: c.ownership.ActUntil()})
+	}
+	c.plannedMachines = c.plannedMachines[:0]
+}
+
+// directReplied takes in what came of an order.
+func (c *Core) directReplied(x DirectReply) {
+	o := c.directCalls[x.ID]
+	if o == nil {
+		return
+	}
+	delete(c.directCalls, x.ID)
+	if o.probe {
+		c.probesInFlight--
+	}
+	m := c.pool.Machines[o.machine]
+	if m == nil {
+		return
+	}
+	m.DirectInFlight = false
+	if o.probe {
+		c.probeReplied(m, o, x)
+		return
+	}
+	if m.Term != o.term || m.Session != o.session {
+		return // the order is void by now, and reconcile has judged its tasks
+	}
+	answered := x.Status == 200 || x.Status == 409 || x.Status == 400
+	for i, p := range o.tasks {
+		pl, ok := p.job.Assigned[p.task]
+		if !answered && !x.Unsent {
+			// It may still be carried out, even after a clear.
+			m.Unconfirmed[o.attempts[i]] = true
+		}
+		if !ok || pl.Attempt != o.attempts[i] || pl.Delivery != jobs.DirectPending {
+			continue
+		}
+		switch {
+		case x.Unsent:
+			pl.State, pl.Delivery = jobs.Planned, jobs.InReply
+			delete(m.DirectSince, pl.Attempt)
+		case answered:
+			pl.Delivery = jobs.DirectConfirmed
+		default:
+			pl.Delivery = jobs.DirectUnknown
+		}
+		c.assign(p.job, p.task, pl)
+	}
+	if x.Status != 200 && x.Status != 409 {
+		return
+	}
+	r := &wire.Report{}
+	if wire.Decode(x.Body, r) != nil || r.Machine != m.ID || !c.pool.ReceiveDirect(c.now.Steady, m, r) {
+		return
+	}
+	c.dirty = true
+	// The commands that follow are sent with the answer to the next report.
+	c.reconcile(m, nil, true)
+}
+
+// probeSilent asks machines that were not heard in time what they run, by an order
+// without commands: their workers may hang on another node, which answers nothing,
+// or look for this one. Guards against the return of healthy machines, and against
+// jobs that waited for them, when a controller stood still.
+func (c *Core) probeSilent() {
+	t := c.now.Steady
+	if !c.ownership.MayLaunch() {
+		return
+	}
+	for _, m := range c.pool.Sorted() {
+		if c.probesInFlight >= limits.ProbesInFlight {
+			return
+		}
+		if m.DirectInFlight || m.Deleting || m.Lost || m.Address == "" || t < m.NextProbe || t-m.LastReport <= c.pool.Report*5/4+limits.ProbeAfter {
+			continue
+		}
+		m.NextProbe = t + limits.ProbeInterval
+		c.sendUntracked(m, max(m.Session, m.ProbeSession), []wire.Command{})
+	}
+}
+
+// sendUntracked sends a machine commands that need no account of their own, or none: stops may
+// be carried out late, and again. The answer tells what it runs.
+func (c *Core) sendUntracked(m *workers.Machine, session uint64, cmds []wire.Command) {
+	term := c.active[m.Class]
+	m.DirectInFlight = true
+	c.probesInFlight++
+	c.lastDirectCall++
+	c.directCalls[c.lastDirectCall] = &directCall{machine: m.ID, session: session, term: term, probe: true}
+	c.out = append(c.out, DirectCall{ID: c.lastDirectCall, Address: m.Address, Body: wire.Orders{Token: term, Session: session, Commands: cmds}, Until: c.ownership.ActUntil()})
+}
+
+// probeReplied takes in what a silent machine answered.
+func (c *Core) probeReplied(m *workers.Machine, o *directCall, x DirectReply) {
+	if c.active[m.Class] != o.term {
+		return
+	}
+	r := &wire.Report{}
+	if (x.Status != 200 && x.Status != 409) || wire.Decode(x.Body, r) != nil || r.Machine != m.ID {
+		m.ProbeFailed = true
+		return
+	}
+	resolved, found := m.Resolved(), m.Term == o.term
+	if !c.pool.ReceiveProbe(c.now.Steady, m, r, o.term, o.session) {
+		return
+	}
+	// Guards against machines that a new owner returned as never come up, with their
+	// tasks, although they had answered it.
+	if rent := c.fleet.Track(m.ID, kindOf(m), c.now.Steady); rent != nil {
+		rent.Up = true
+	}
+	c.recordReport(m, found)
+	c.log("debug", "silent machine answered", "machine", m.ID, "session", r.Session, "tasks", len(r.Tasks))
+	c.dirty = true
+	c.jobsChanged = c.jobsChanged || !resolved
+	c.reconcile(m, nil, true)
+}
+
+// repeatLaunches lists the launches whose order was never answered and which no report
+// shows: the answer to a report repeats them, and the worker ignores what it has.
+func (c *Core) repeatLaunches(m *workers.Machine, cmds []wire.Command) []wire.Command {
+	if len(m.Unconfirmed) == 0 {
+		return cmds
+	}
+	for _, id := range c.loads[m.ID].taskIDs() {
+		p := c.loads[m.ID].tasks[id]
+		if pl := p.job.Assigned[p.task]; pl.Delivery == jobs.DirectUnknown && !p.job.Cancelled && len(cmds) < limits.MaxCommands {
+			cmds = append(cmds, wire.Command{Verb: wire.VerbLaunch, Task: id, Attempt: pl.Attempt})
+			if p.job.Gang && p.job.GangRun.Ending {
+				// Only to be sure that it is gone: the next attempt waits for that.
+				cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: pl.Attempt})
+			}
+		}
+	}
+	return cmds
+}
+
+// mayClear tells whether the worker may forget an ended attempt. Guards against
+// an order that is carried out late, or twice, after the clear: it would start
+// the attempt again, perhaps while the task runs elsewhere. A completed task that
+// is started again exits at once, so it need not be held unless it is cancelled.
+func (c *Core) mayClear(m *workers.Machine, j *jobs.Job, t wire.TaskReport) bool {
+	if m.Unconfirmed[t.Attempt] {
+		return false
+	}
+	at, direct := m.DirectSince[t.Attempt]
+	if !direct || (t.Cause == wire.CauseDone && (j == nil || !j.Cancelled)) {
+		return true
+	}
+	return c.now.Steady-at > time.Duration(limits.ClearLeases*float64(c.pool.Lease))
+}
--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -19,7 +19,7 @@
 // gangUnit fits a unit to what a gang needs now; false: nothing.
 func (c *Core) gangUnit(u *allocation.Unit, j *jobs.Job, held map[string][]string) bool {
 	u.Gang, u.Count = true, j.Waiting()
-	if j.Start.Ending || j.Start.Stopped > 0 || (j.Start.Began && u.Count > 0) {
+	if j.GangRun.Ending || j.GangRun.StoppedAt > 0 || (j.GangRun.Started && u.Count > 0) {
 		return false
 	}
 	u.Avoid = map[string]bool{}
@@ -28,7 +28,7 @@
 			u.Avoid[id] = true
 		}
 	}
-	for id := range j.Start.Left { // an attempt that was cleared must not come back there
+	for id := range j.GangRun.LeftMachines { // an attempt that was cleared must not come back there
 		u.Avoid[id] = true
 	}
 	for _, id := range held[j.ID] {
@@ -39,14 +39,14 @@
 	return u.Count > 0
 }
 
-// heldEnds lists, by gang, the machines with an end of a task that is not cleared yet:
+// machinesWithEndedTasks lists, by gang, the machines with an end of a task that is not cleared yet:
 // it keeps the task away from there.
-func (c *Core) heldEnds() map[string][]string {
+func (c *Core) machinesWithEndedTasks() map[string][]string {
 	out := map[string][]string{}
 	for id, m := range c.pool.Machines {
-		for task := range m.Held {
+		for task := range m.EndedTasks {
 			job, _ := jobs.SplitTask(task)
-			if j := c.book.Open[job]; j != nil && j.Gang {
+			if j := c.jobs.Open[job]; j != nil && j.Gang {
 				out[job] = append(out[job], id)
 			}
 		}
@@ -58,61 +58,61 @@
 func (c *Core) placeGang(j *jobs.Job, team string, machines []*allocation.Machine) {
 	var tasks []int
 	for task := 0; task < j.Tasks; task++ {
-		if _, ok := j.Placed[task]; !ok {
+		if _, ok := j.Assigned[task]; !ok {
 			tasks = append(tasks, task)
 		}
 	}
-	if len(tasks) != len(machines) || j.DoneCount > 0 || j.Start.Ending || j.Start.Began && len(tasks) > 0 {
+	if len(tasks) != len(machines) || j.DoneCount > 0 || j.GangRun.Ending || j.GangRun.Started && len(tasks) > 0 {
 		return // the offer was older than a change of the job
 	}
 	for _, am := range machines {
 		m := c.pool.Machines[am.ID]
-		if m == nil || j.Start.Left[am.ID] {
+		if m == nil || j.GangRun.LeftMachines[am.ID] {
 			return
 		}
 		for _, task := range tasks {
-			if m.Held[jobs.TaskID(j.ID, task)] {
+			if m.EndedTasks[jobs.TaskID(j.ID, task)] {
 				return
 			}
 		}
 	}
-	if j.Start.Attempt == 0 {
-		j.Start = jobs.GangStart{Attempt: c.attempt(machines[0].Class), Left: map[string]bool{}}
+	if j.GangRun.Attempt == 0 {
+		j.GangRun = jobs.GangRun{Attempt: c.attempt(machines[0].Class), LeftMachines: map[string]bool{}}
 	}
 	for i, am := range machines {
-		c.put(j, tasks[i], jobs.Place{Machine: am.ID, Attempt: j.Start.Attempt, State: jobs.Planned})
+		c.assign(j, tasks[i], jobs.Assignment{Machine: am.ID, Attempt: j.GangRun.Attempt, State: jobs.Planned})
 		m := c.pool.Machines[am.ID]
 		if _, known := m.Images[j.Image]; !known && j.Image != "" {
 			m.Images[j.Image] = false
 		}
-		c.touched = append(c.touched, am.ID)
+		c.plannedMachines = append(c.plannedMachines, am.ID)
 	}
-	c.log("debug", "gang placed", "job", j.ID, "tasks", len(tasks), "of", j.Tasks, "attempt", j.Start.Attempt, "team", team)
+	c.log("debug", "gang placed", "job", j.ID, "tasks", len(tasks), "of", j.Tasks, "attempt", j.GangRun.Attempt, "team", team)
 }
 
 // gangReported takes in a task of a gang that a machine lists.
 func (c *Core) gangReported(j *jobs.Job, t wire.TaskReport) {
-	if j.Start.Attempt == 0 {
+	if j.GangRun.Attempt == 0 {
 		return // adopted once all machines are known
 	}
-	if t.Attempt != j.Start.Attempt {
+	if t.Attempt != j.GangRun.Attempt {
 		c.endGang(j, "mixed attempts")
 	} else if t.State == wire.TaskRunning || t.State == wire.TaskSaving {
-		j.Start.Began = true
+		j.GangRun.Started = true
 	}
 }
 
 // gangLost takes note that a task of a gang is on its machine no more, without an end
 // that was reported.
-func (c *Core) gangLost(j *jobs.Job, p jobs.Place) {
-	if p.Attempt != j.Start.Attempt || p.State == jobs.Planned || j.DoneCount == j.Tasks {
+func (c *Core) gangLost(j *jobs.Job, p jobs.Assignment) {
+	if p.Attempt != j.GangRun.Attempt || p.State == jobs.Planned || j.DoneCount == j.Tasks {
 		return
 	}
-	if j.Start.Left == nil {
-		j.Start.Left = map[string]bool{}
+	if j.GangRun.LeftMachines == nil {
+		j.GangRun.LeftMachines = map[string]bool{}
 	}
-	j.Start.Left[p.Machine] = true
-	if j.Start.Began && j.Start.Stopped == 0 {
+	j.GangRun.LeftMachines[p.Machine] = true
+	if j.GangRun.Started && j.GangRun.StoppedAt == 0 {
 		c.endGang(j, "task lost")
 	}
 }
@@ -126,11 +126,11 @@
 		for task := 0; task < j.Tasks; task++ {
 			j.MarkDone(task)
 		}
-		for _, task := range j.PlacedTasks() {
-			c.take(j, task)
+		for _, task := range j.AssignedTasks() {
+			c.unassign(j, task)
 		}
-	case t.Attempt != j.Start.Attempt:
-	case t.Cause == wire.CauseHalted && j.Start.Stopped > 0:
+	case t.Attempt != j.GangRun.Attempt:
+	case t.Cause == wire.CauseHalted && j.GangRun.StoppedAt > 0:
 		// What was told to save: the others are still about it.
 	default:
 		c.endGang(j, t.Cause)
@@ -139,54 +139,54 @@
 
 // endGang ends what is left of a gang's attempt.
 func (c *Core) endGang(j *jobs.Job, why string) {
-	if j.Start.Ending || j.Start.Attempt == 0 {
+	if j.GangRun.Ending || j.GangRun.Attempt == 0 {
 		return
 	}
-	j.Start.Ending = true
-	c.log("info", "gang attempt ends", "job", j.ID, "why", why, "attempt", j.Start.Attempt, "left", len(j.Placed))
+	j.GangRun.Ending = true
+	c.log("info", "gang attempt ends", "job", j.ID, "why", why, "attempt", j.GangRun.Attempt, "left", len(j.Assigned))
 	c.dirty = true
-	for _, task := range j.PlacedTasks() {
-		if j.Placed[task].State == jobs.Planned {
-			c.take(j, task)
+	for _, task := range j.AssignedTasks() {
+		if j.Assigned[task].State == jobs.Planned {
+			c.unassign(j, task)
 		}
 	}
-	c.tellGang(j, "")
+	c.sendGangStops(j, "")
 }
 
 // stopGang tells all tasks of a running gang to save and stop, since the machine of one
 // has to be left. A gang that only waits has nothing to save.
 func (c *Core) stopGang(j *jobs.Job, m *workers.Machine) {
-	if j.Start.Ending || j.Start.Stopped > 0 || j.Start.Attempt == 0 {
+	if j.GangRun.Ending || j.GangRun.StoppedAt > 0 || j.GangRun.Attempt == 0 {
 		return
 	}
-	if !j.Start.Began {
+	if !j.GangRun.Started {
 		c.endGang(j, "machine leaves")
 		return
 	}
-	j.Start.Stopped = c.now.Steady
-	c.log("info", "gang stops to save", "job", j.ID, "machine", m.ID, "attempt", j.Start.Attempt)
+	j.GangRun.StoppedAt = c.now.Steady
+	c.log("info", "gang stops to save", "job", j.ID, "machine", m.ID, "attempt", j.GangRun.Attempt)
 	// With the answers to reports alone the last ones might be told too late.
-	c.tellGang(j, m.ID)
+	c.sendGangStops(j, m.ID)
 }
 
 // gangStop tells whether a task of a gang has to be told to stop, and with what leeway.
 func (c *Core) gangStop(j *jobs.Job, t wire.TaskReport) (stop bool, leeway float64) {
 	switch {
-	case j.Start.Ending || j.Start.Attempt != 0 && t.Attempt != j.Start.Attempt:
+	case j.GangRun.Ending || j.GangRun.Attempt != 0 && t.Attempt != j.GangRun.Attempt:
 		return true, 0
-	case j.Start.Stopped > 0 && t.State != wire.TaskSaving:
-		return true, j.SaveS + c.set.Cluster.Workers.GangPeerS
+	case j.GangRun.StoppedAt > 0 && t.State != wire.TaskSaving:
+		return true, j.SaveS + c.settings.Cluster.Workers.GangPeerS
 	}
 	return false, 0
 }
 
-// tellGang sends the stops of a gang straight to the machines of its tasks, but for one
+// sendGangStops sends the stops of a gang straight to the machines of its tasks, but for one
 // that is being answered. What does not arrive goes with the answers to reports.
-func (c *Core) tellGang(j *jobs.Job, but string) {
+func (c *Core) sendGangStops(j *jobs.Job, but string) {
 	byMachine := map[string][]wire.Command{}
 	var order []string
-	for _, task := range j.PlacedTasks() {
-		p := j.Placed[task]
+	for _, task := range j.AssignedTasks() {
+		p := j.Assigned[task]
 		stop, leeway := c.gangStop(j, wire.TaskReport{Attempt: p.Attempt})
 		if p.State == jobs.Planned || p.State == jobs.Saving || !stop || p.Machine == but {
 			continue
@@ -197,33 +197,33 @@
 		byMachine[p.Machine] = append(byMachine[p.Machine], wire.Command{Verb: wire.VerbStop, Task: jobs.TaskID(j.ID, task), Attempt: p.Attempt, GraceS: leeway})
 	}
 	for _, id := range order {
-		if m := c.pool.Machines[id]; m != nil && m.Adopted && !m.Ordered && !m.Lost && !m.Deleting && m.Address != "" && c.asks < limits.AsksInFlight {
-			c.askWith(m, m.Session, byMachine[id])
+		if m := c.pool.Machines[id]; m != nil && m.Adopted && !m.DirectInFlight && !m.Lost && !m.Deleting && m.Address != "" && c.probesInFlight < limits.ProbesInFlight {
+			c.sendUntracked(m, m.Session, byMachine[id])
 		}
 	}
 }
 
-// tendGangs adopts what earlier owners started, gives up what stops for too long, and
+// updateGangs adopts what earlier owners started, gives up what stops for too long, and
 // makes way for the next attempt of what is gone.
-func (c *Core) tendGangs() {
+func (c *Core) updateGangs() {
 	t := c.now.Steady
 	var ids []string
-	for id, j := range c.book.Open {
-		if j.Gang && j.Active && !j.Frozen && (j.Start.Attempt != 0 || len(j.Placed) > 0) {
+	for id, j := range c.jobs.Open {
+		if j.Gang && j.Active && !j.Frozen && (j.GangRun.Attempt != 0 || len(j.Assigned) > 0) {
 			ids = append(ids, id)
 		}
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		j := c.book.Open[id]
-		if j.Start.Attempt == 0 && len(j.Placed) > 0 {
+		j := c.jobs.Open[id]
+		if j.GangRun.Attempt == 0 && len(j.Assigned) > 0 {
 			c.adoptGang(j)
 		}
-		if j.Start.Stopped > 0 && t > j.Start.Stopped+limits.Seconds(c.set.Cluster.Workers.GangPeerS+j.SaveS)+c.pool.Report*5/4+limits.GangStopSlack {
+		if j.GangRun.StoppedAt > 0 && t > j.GangRun.StoppedAt+limits.Seconds(c.settings.Cluster.Workers.GangPeerS+j.SaveS)+c.pool.Report*5/4+limits.GangStopSlack {
 			c.endGang(j, "not stopped in time")
 		}
-		if j.Start.Attempt != 0 && len(j.Placed) == 0 {
-			j.Start = jobs.GangStart{}
+		if j.GangRun.Attempt != 0 && len(j.Assigned) == 0 {
+			j.GangRun = jobs.GangRun{}
 			c.dirty = true
 		}
 	}
@@ -234,29 +234,29 @@
 // number, and what can't go on is ended.
 func (c *Core) adoptGang(j *jobs.Job) {
 	mixed, saving := false, false
-	for _, task := range j.PlacedTasks() {
-		p := j.Placed[task]
-		if j.Start.Attempt == 0 {
-			j.Start = jobs.GangStart{Attempt: p.Attempt, Left: map[string]bool{}}
+	for _, task := range j.AssignedTasks() {
+		p := j.Assigned[task]
+		if j.GangRun.Attempt == 0 {
+			j.GangRun = jobs.GangRun{Attempt: p.Attempt, LeftMachines: map[string]bool{}}
 		}
-		mixed = mixed || p.Attempt != j.Start.Attempt
+		mixed = mixed || p.Attempt != j.GangRun.Attempt
 		saving = saving || p.State == jobs.Saving
-		j.Start.Began = j.Start.Began || p.State >= jobs.Running
+		j.GangRun.Started = j.GangRun.Started || p.State >= jobs.Running
 	}
-	switch whole := len(j.Placed) == j.Tasks; {
+	switch whole := len(j.Assigned) == j.Tasks; {
 	case mixed:
 		c.endGang(j, "mixed attempts at a takeover")
 	case saving:
 		// Guards against progress that was lost although a part of the gang saved: the
 		// owner before had told only some of the tasks.
-		j.Start.Stopped = c.now.Steady
-		c.tellGang(j, "")
+		j.GangRun.StoppedAt = c.now.Steady
+		c.sendGangStops(j, "")
 	case whole:
-	case j.Start.Began || !c.canComplete(j):
+	case j.GangRun.Started || !c.canComplete(j):
 		c.endGang(j, "not whole at a takeover")
 	default:
 		c.dirty = true
-		c.log("info", "gang attempt is completed", "job", j.ID, "attempt", j.Start.Attempt, "missing", j.Waiting())
+		c.log("info", "gang attempt is completed", "job", j.ID, "attempt", j.GangRun.Attempt, "missing", j.Waiting())
 	}
 }
 
@@ -268,7 +268,7 @@
 func (c *Core) canComplete(j *jobs.Job) bool {
 	for _, m := range c.pool.Machines {
 		for _, t := range m.Tasks {
-			if id, _ := jobs.SplitTask(t.Task); id == j.ID && t.Attempt == j.Start.Attempt && t.State == wire.TaskEnded {
+			if id, _ := jobs.SplitTask(t.Task); id == j.ID && t.Attempt == j.GangRun.Attempt && t.State == wire.TaskEnded {
 				return false // the others learn of it, or give up
 			}
 		}
@@ -279,32 +279,32 @@
 			fetch = max(fetch, j.ImageGB/t.FetchGBps)
 		}
 	}
-	wait := limits.Seconds(c.set.Cluster.Workers.GangWaitS)
+	wait := limits.Seconds(c.settings.Cluster.Workers.GangWaitS)
 	return c.age(j.SubmitUnix)+limits.Seconds(fetch)+limits.GangCompletion < wait
 }
 
-// gangLeaves tells whether a machine's end is so near that a gang with a task on it has
+// mustStopGang tells whether a machine's end is so near that a gang with a task on it has
 // to go.
-func (c *Core) gangLeaves(m *workers.Machine, j *jobs.Job) bool {
+func (c *Core) mustStopGang(m *workers.Machine, j *jobs.Job) bool {
 	if m.Recall == 0 {
 		return false
 	}
 	left := m.Recall - c.now.Steady
-	return left <= limits.Seconds(j.SaveS+c.set.Cluster.Workers.GangPeerS)+limits.DrainSpare+c.pool.Report*5/4
+	return left <= limits.Seconds(j.SaveS+c.settings.Cluster.Workers.GangPeerS)+limits.DrainSpare+c.pool.Report*5/4
 }
 
-// reserve leaves some ordinary machines to gangs that should start within seconds. Their
+// reserveForGangs leaves some ordinary machines to gangs that should start within seconds. Their
 // tasks are few and small, and the time goes into fetching images, on all their machines
 // at once: where arrays fill whatever is free, each gang comes to machines that lack its
 // image. On machines of their own it is there from the second gang on.
-func (c *Core) reserve(machines []*allocation.Machine) {
+func (c *Core) reserveForGangs(machines []*allocation.Machine) {
 	t := c.now.Steady
 	if t < c.nextReserve {
 		return // sorting the machines at every look would cost a tenth of a small share
 	}
-	c.nextReserve = t + limits.ReserveEvery
+	c.nextReserve = t + limits.GangReserveInterval
 	asked, images, classes := 0.0, map[string]bool{}, map[string]bool{}
-	for _, j := range c.book.Open {
+	for _, j := range c.jobs.Open {
 		if j.Gang && j.Active && !j.Cancelled && !j.Faulty() && c.startWithin(j) > 0 {
 			asked += float64(j.Tasks) * j.CPUs
 			images[j.Image] = true
@@ -313,13 +313,13 @@
 			}
 		}
 	}
-	if asked == 0 && c.gangPeak == 0 {
+	if asked == 0 && c.gangDemand == 0 {
 		return
 	}
-	c.gangPeak = max(asked, c.gangPeak*math.Exp2(-float64(t-c.gangsAt)/float64(limits.GangMemory)))
-	c.gangsAt = t
-	if c.gangPeak < 1 {
-		c.gangPeak = 0
+	c.gangDemand = max(asked, c.gangDemand*math.Exp2(-float64(t-c.gangDemandAt)/float64(limits.GangDemandHalfLife)))
+	c.gangDemandAt = t
+	if c.gangDemand < 1 {
+		c.gangDemand = 0
 		clear(c.reserved)
 		return
 	}
@@ -337,12 +337,12 @@
 			delete(c.reserved, id)
 		}
 	}
-	want := min(limits.GangSpare*c.gangPeak, limits.GangPart*all)
+	want := min(limits.GangReserveFactor*c.gangDemand, limits.GangReserveMost*all)
 	if have >= want {
 		for _, m := range machines { // those that are not needed go back, empty of gangs first
 			if c.reserved[m.ID] && !m.Busy && have-m.Size.CPUs >= want {
 				delete(c.reserved, m.ID)
-				m.Gangs = false
+				m.GangsOnly = false
 				have -= m.Size.CPUs
 			}
 		}
@@ -366,10 +366,10 @@
 	}
 	slices.SortStableFunc(list, func(a, b *allocation.Machine) int { return cmp.Compare(score(b), score(a)) })
 	for _, m := range list {
-		if have+m.Size.CPUs > limits.GangPart*all || have >= want {
+		if have+m.Size.CPUs > limits.GangReserveMost*all || have >= want {
 			break
 		}
-		c.reserved[m.ID], m.Gangs = true, true
+		c.reserved[m.ID], m.GangsOnly = true, true
 		have += m.Size.CPUs
 	}
 }
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"umberpaddle/internal/fleet"
@@ -16,17 +17,17 @@
 	reply := func(status int, body any) { c.out = append(c.out, Answer{Ref: x.Ref, Status: status, Body: body}) }
 	term, ours := c.active[r.Type]
 	if !ours {
-		c.lastVisit = c.now.Steady
-		if o := c.own.Owner(r.Type); o != "" && o != c.set.Label {
+		c.lastForeignArrival = c.now.Steady
+		if o := c.ownership.Owner(r.Type); o != "" && o != c.settings.Label {
 			reply(421, wire.Redirect{Owner: o})
 		} else {
 			reply(503, nil)
 		}
 		return
 	}
-	c.lastKnock = c.now.Steady
+	c.lastArrival = c.now.Steady
 	// A deleted machine's late report must not bring it back.
-	if !c.own.MayAnswer() || c.fleet.IsGone(r.Machine) || r.Machine == "" {
+	if !c.ownership.MayAnswer() || c.fleet.IsGone(r.Machine) || r.Machine == "" {
 		reply(503, nil)
 		return
 	}
@@ -34,19 +35,19 @@
 	if m := c.pool.Machines[r.Machine]; m != nil {
 		adopted, recalled, found = m.Adopted, m.Recall != 0, m.Term == term
 	}
-	m, v := c.pool.Hear(c.now.Steady, r, term, c.own.Claims()[r.Type].Since)
+	m, v := c.pool.Receive(c.now.Steady, r, term, c.ownership.Claims()[r.Type].Since)
 	switch v {
 	case workers.Stale, workers.Deposed:
 		c.log("debug", "report not taken", "machine", r.Machine, "session", r.Session, "seq", r.Seq, "token", r.Token, "term", term)
 		reply(503, nil)
 		return
 	}
-	c.regroup = c.regroup || m.Adopted != adopted
-	c.heard(m, found)
+	c.jobsChanged = c.jobsChanged || m.Adopted != adopted
+	c.recordReport(m, found)
 	if m.Recall != 0 && !recalled && m.Spot {
 		c.fleet.SpotLost()
 	}
-	if rent := c.fleet.Know(r.Machine, fleet.Kind{Class: r.Type, Zone: r.Zone, Spot: r.Spot}, c.now.Steady); rent != nil {
+	if rent := c.fleet.Track(r.Machine, fleet.Kind{Class: r.Type, Zone: r.Zone, Spot: r.Spot}, c.now.Steady); rent != nil {
 		rent.Up = true
 	}
 	out := wire.ReportReply{Token: term, Commands: []wire.Command{}}
@@ -56,15 +57,15 @@
 			reply(503, nil)
 			return
 		}
-		out.Commands = c.sync(m, out.Commands, false)
-		if c.own.MayLaunch() {
+		out.Commands = c.reconcile(m, out.Commands, false)
+		if c.ownership.MayLaunch() {
 			c.allocateOn(m)
-			out.Commands = c.launches(m, out.Commands)
-			out.Commands = c.again(m, out.Commands)
+			out.Commands = c.launchCommands(m, out.Commands)
+			out.Commands = c.repeatLaunches(m, out.Commands)
 		}
 	}
 	// Judged when it leaves: guards against a node that stands still in between.
-	c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: out, Until: c.own.ActUntil()})
+	c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: out, Until: c.ownership.ActUntil()})
 }
 
 // mayStartCancelled tells whether an order that was never answered may still start a
@@ -72,11 +73,11 @@
 // which then is not renewed, makes it void. Guards against an order held up for longer
 // than cancel_s.
 func (c *Core) mayStartCancelled(m *workers.Machine) bool {
-	if len(m.Unsure) == 0 {
+	if len(m.Unconfirmed) == 0 {
 		return false
 	}
-	for _, p := range c.hostOf(m.ID).tasks {
-		if p.job.Cancelled && p.job.Placed[p.task].Told == jobs.Lost && c.now.Steady > p.job.CancelledAt+c.own.Blind {
+	for _, p := range c.loadOf(m.ID).tasks {
+		if p.job.Cancelled && p.job.Assigned[p.task].Delivery == jobs.DirectUnknown && c.now.Steady > p.job.CancelledAt+c.ownership.MaxStaleness {
 			return true
 		}
 	}
@@ -89,95 +90,112 @@
 	n  uint64
 }
 
-// sync makes the places match a current report, or the list that answers an
+// reconcile makes the places match a current report, or the list that answers an
 // order (direct), and returns the commands that follow from it.
-func (c *Core) sync(m *workers.Machine, cmds []wire.Command, direct bool) []wire.Command {
-	may := c.own.MayLaunch()
-	on := c.hostOf(m.ID)
+func (c *Core) reconcile(m *workers.Machine, cmds []wire.Command, direct bool) []wire.Command {
+	may := c.ownership.MayLaunch()
 	// By attempt: an ended attempt that waits for its clear must not pass for a
 	// later one whose launch was lost, which would then never be launched again.
 	reported := c.reported
 	clear(reported)
-	clear(c.numbers)
-	clear(m.Held)
+	clear(c.reportedAttempts)
+	clear(m.EndedTasks)
 	for _, t := range m.Tasks {
-		id := t.Task
-		reported[attempt{id, t.Attempt}] = true
-		c.numbers[t.Attempt] = true
-		jobID, task := jobs.SplitTask(id)
-		j := c.book.Open[jobID]
+		reported[attempt{t.Task, t.Attempt}] = true
+		c.reportedAttempts[t.Attempt] = true
+		jobID, task := jobs.SplitTask(t.Task)
+		j := c.jobs.Open[jobID]
 		if j != nil && (task < 0 || task >= j.Tasks) {
 			j = nil
 		}
 		if t.State == wire.TaskEnded {
-			cmds = c.ended(m, j, id, task, t, cmds, may)
+			cmds = c.taskEnded(m, j, t.Task, task, t, cmds, may)
 			continue
 		}
-		if j == nil || j.Done.Has(task) {
-			// Over, or not ours to run: it must go.
-			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt})
-			continue
-		}
-		p, ok := j.Placed[task]
-		if ok && p.Machine != m.ID && p.State != jobs.Planned {
-			c.log("error", "task in two places", "task", id, "machine", m.ID, "other", p.Machine)
-			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt})
-			continue
-		}
-		ran := p.Ran
-		if ran == 0 && t.State == wire.TaskRunning {
-			ran = c.now.Steady
-		}
-		c.put(j, task, jobs.Place{Machine: m.ID, Attempt: t.Attempt, State: taskState(t.State), Ran: ran})
-		if t.State == wire.TaskRunning {
-			if !ok || p.State < jobs.Running {
-				c.log("debug", "task runs", "job", j.ID, "task", task, "machine", m.ID, "class", j.Class, "afterS", c.age(j.SubmitUnix).Seconds())
-			}
-			j.Begun = true
-			if j.Image != "" {
-				m.Images[j.Image] = true
-			}
-		}
-		if j.Gang && !j.Cancelled {
-			c.gangReported(j, t)
-			if c.gangLeaves(m, j) {
-				c.stopGang(j, m)
-			}
-			if stop, leeway := c.gangStop(j, t); stop {
-				cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt, GraceS: leeway})
-			}
-			continue
+		if stop, grace := c.taskPresent(m, j, task, t); stop {
+			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: grace})
 		}
-		switch {
-		case j.Cancelled:
-			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt})
-		case m.Recall != 0 && c.hopeless(m, j, task, t.State):
-			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt})
-		case t.State == wire.TaskRunning && (c.mustSave(m, j) || c.mustReturn(m.ID, id, t.Attempt)):
-			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: id, Attempt: t.Attempt, GraceS: j.SaveS + 1})
+	}
+	c.unassignMissing(m, direct)
+	for n := range m.DirectSince {
+		if !c.reportedAttempts[n] && !m.Unconfirmed[n] && !m.DirectInFlight {
+			delete(m.DirectSince, n)
 		}
 	}
-	for id, p := range on.tasks {
-		pl := p.job.Placed[p.task]
+	return cmds
+}
+
+// unassignMissing takes away the assignments to a machine that its newest list, which
+// reconcile has just gone through, proves to be gone: the launch was lost on its way, or the
+// task went with a session.
+func (c *Core) unassignMissing(m *workers.Machine, direct bool) {
+	load := c.loadOf(m.ID)
+	var gone []string
+	for id, ref := range load.tasks {
+		a := ref.job.Assigned[ref.task]
 		switch {
-		case reported[attempt{id, pl.Attempt}] || pl.State == jobs.Planned:
-			continue
-		case (pl.Told == jobs.Ordered || pl.Told == jobs.Lost) && pl.Session == m.Session:
-			continue
-		case direct && pl.Told == jobs.Replied && pl.State == jobs.Sent:
+		case c.reported[attempt{id, a.Attempt}] || a.State == jobs.Planned:
+		case (a.Delivery == jobs.DirectPending || a.Delivery == jobs.DirectUnknown) && a.Session == m.Session:
+		case direct && a.Delivery == jobs.InReply && a.State == jobs.Sent:
 			// Guards against a list that crossed the answer with the launch: the
 			// task was taken for lost, and started a second time elsewhere.
-			continue
+		default:
+			gone = append(gone, id)
 		}
-		// Sent, but the answer never arrived; or gone with a session.
-		c.take(p.job, p.task)
 	}
-	for n := range m.Direct {
-		if !c.numbers[n] && !m.Unsure[n] && !m.Ordered {
-			delete(m.Direct, n)
+	slices.Sort(gone)
+	for _, id := range gone {
+		ref := load.tasks[id]
+		c.unassign(ref.job, ref.task)
+	}
+}
+
+// taskPresent takes in a task that a machine lists and that has not ended; j is nil if it is
+// of no job of ours. It tells whether the task has to stop, and with how many seconds to save.
+func (c *Core) taskPresent(m *workers.Machine, j *jobs.Job, task int, t wire.TaskReport) (stop bool, graceS float64) {
+	if j == nil || j.Done.Has(task) {
+		return true, 0 // over, or not ours to run
+	}
+	before, known := j.Assigned[task]
+	if known && before.Machine != m.ID && before.State != jobs.Planned {
+		c.log("error", "task in two places", "task", t.Task, "machine", m.ID, "other", before.Machine)
+		return true, 0
+	}
+	since := before.RunningSince
+	if since == 0 && t.State == wire.TaskRunning {
+		since = c.now.Steady
+	}
+	c.assign(j, task, jobs.Assignment{Machine: m.ID, Attempt: t.Attempt, State: taskState(t.State), RunningSince: since})
+	if t.State == wire.TaskRunning {
+		if !known || before.State < jobs.Running {
+			c.log("debug", "task runs", "job", j.ID, "task", task, "machine", m.ID, "class", j.Class, "afterS", c.age(j.SubmitUnix).Seconds())
+		}
+		j.Started = true
+		if j.Image != "" {
+			m.Images[j.Image] = true
 		}
 	}
-	return cmds
+	return c.mustStop(m, j, task, t)
+}
+
+// mustStop tells whether a task that is on a machine has to stop, and with how many seconds
+// to save.
+func (c *Core) mustStop(m *workers.Machine, j *jobs.Job, task int, t wire.TaskReport) (stop bool, graceS float64) {
+	switch {
+	case j.Cancelled:
+		return true, 0
+	case j.Gang:
+		c.gangReported(j, t)
+		if c.mustStopGang(m, j) {
+			c.stopGang(j, m)
+		}
+		return c.gangStop(j, t)
+	case m.Recall != 0 && c.cannotFinish(m, j, task, t.State):
+		return true, 0
+	case t.State == wire.TaskRunning && (c.mustSave(m, j) || c.mustPreempt(m.ID, t.Task, t.Attempt)):
+		return true, j.SaveS + 1
+	}
+	return false, 0
 }
 
 func taskState(s string) jobs.TaskState {
@@ -201,71 +219,71 @@
 	return left <= need
 }
 
-// hopeless tells whether a task that saves nothing will not be done before the
+// cannotFinish tells whether a task that saves nothing will not be done before the
 // cloud takes its machine: it had better start over elsewhere at once.
-func (c *Core) hopeless(m *workers.Machine, j *jobs.Job, task int, state string) bool {
+func (c *Core) cannotFinish(m *workers.Machine, j *jobs.Job, task int, state string) bool {
 	if j.CheckS > 0 || state == wire.TaskSaving {
 		return false
 	}
 	left := j.EstimateS
-	if p := j.Placed[task]; state == wire.TaskRunning {
-		left = max(left-(c.now.Steady-p.Ran).Seconds(), limits.LeastLeft*j.EstimateS)
+	if p := j.Assigned[task]; state == wire.TaskRunning {
+		left = max(left-(c.now.Steady-p.RunningSince).Seconds(), limits.LeastLeft*j.EstimateS)
 	}
 	return left > (m.Recall - c.now.Steady).Seconds()
 }
 
-// ended takes in the end of an attempt. The outcome must be durable before the
+// taskEnded takes in the end of an attempt. The outcome must be durable before the
 // worker may forget it; only a completion has an outcome that matters.
-func (c *Core) ended(m *workers.Machine, j *jobs.Job, id string, task int, t wire.TaskReport, cmds []wire.Command, may bool) []wire.Command {
-	clear := wire.Command{Verb: wire.VerbClear, Task: id, Attempt: t.Attempt}
+func (c *Core) taskEnded(m *workers.Machine, j *jobs.Job, id string, task int, t wire.TaskReport, cmds []wire.Command, may bool) []wire.Command {
+	clearing := wire.Command{Verb: wire.VerbClear, Task: id, Attempt: t.Attempt}
 	may = may && c.mayClear(m, j, t)
 	if !may {
-		m.Held[id] = true
+		m.EndedTasks[id] = true
 	}
 	if j == nil {
 		if c.store.Mirror.Loaded && may {
-			return append(cmds, clear)
+			return append(cmds, clearing)
 		}
 		return cmds
 	}
-	p, ok := j.Placed[task]
+	p, ok := j.Assigned[task]
 	here := ok && p.Machine == m.ID && p.Attempt == t.Attempt
 	if j.Gang && (here || t.Cause == wire.CauseDone) {
 		c.gangEnded(j, t)
 	}
-	if p, ok := j.Placed[task]; ok && here && p.Machine == m.ID && p.Attempt == t.Attempt {
-		c.take(j, task)
+	if p, ok := j.Assigned[task]; ok && here && p.Machine == m.ID && p.Attempt == t.Attempt {
+		c.unassign(j, task)
 	}
 	if t.Cause == wire.CauseDone {
 		if ok && !here && p.State == jobs.Planned {
-			c.take(j, task)
+			c.unassign(j, task)
 		}
 		if !j.Done.Has(task) {
-			m.Struck = map[string]int{}
+			m.Failures = map[string]int{}
 			j.Succeeded = true
 			j.Backoff = 0
 			j.MarkDone(task)
 		}
-		if (j.Durable(task) || j.Cancelled) && may {
-			return append(cmds, clear)
+		if (j.IsDurable(task) || j.Cancelled) && may {
+			return append(cmds, clearing)
 		}
 		return cmds
 	}
 	if here {
 		c.log("debug", "attempt ended", "task", id, "machine", m.ID, "cause", t.Cause, "attempt", t.Attempt)
 		if t.Cause == wire.CauseError {
-			c.failed(m, j)
+			c.taskFailed(m, j)
 		}
 	}
 	if may {
-		cmds = append(cmds, clear)
+		cmds = append(cmds, clearing)
 	}
 	return cmds
 }
 
-// failed judges who is to blame for a failed task: the machine, if tasks of
+// taskFailed judges who is to blame for a failed task: the machine, if tasks of
 // jobs that run elsewhere fail on it; the job, if it fails on several machines.
-func (c *Core) failed(m *workers.Machine, j *jobs.Job) {
+func (c *Core) taskFailed(m *workers.Machine, j *jobs.Job) {
 	was := j.Faulty()
 	j.FailedOn[m.ID] = true
 	if j.Faulty() {
@@ -273,7 +291,7 @@
 			// The machines were not to blame. Guards against two jobs with a mistake
 			// of which both had run on a machine: it was drained for them.
 			for _, other := range c.pool.Machines {
-				delete(other.Struck, j.ID)
+				delete(other.Failures, j.ID)
 			}
 		}
 		// Tasks that were started together fail together: that is one try. Guards
@@ -286,38 +304,38 @@
 		}
 		return
 	}
-	m.Struck[j.ID]++
+	m.Failures[j.ID]++
 	strikes := 0
-	for _, n := range m.Struck {
+	for _, n := range m.Failures {
 		strikes += n
 	}
-	if m.Draining || strikes < limits.StrikesOut || (len(m.Struck) == 1 && !j.Succeeded) {
+	if m.Draining || strikes < limits.StrikesOut || (len(m.Failures) == 1 && !j.Succeeded) {
 		return
 	}
 	m.Draining, m.Faulty = true, true
 	c.log("info", "machine fails its tasks", "machine", m.ID, "strikes", strikes)
 	// What failed there says nothing about the jobs. Guards against jobs that were
 	// taken for faulty because several machines were.
-	for _, other := range c.book.Open {
+	for _, other := range c.jobs.Open {
 		delete(other.FailedOn, m.ID)
 	}
 }
 
-// launches turns the plans for a machine into commands.
-func (c *Core) launches(m *workers.Machine, cmds []wire.Command) []wire.Command {
-	h := c.on[m.ID]
-	for _, id := range h.plannedOn() {
+// launchCommands turns the plans for a machine into commands.
+func (c *Core) launchCommands(m *workers.Machine, cmds []wire.Command) []wire.Command {
+	h := c.loads[m.ID]
+	for _, id := range h.plannedTaskIDs() {
 		p := h.tasks[id]
-		pl := p.job.Placed[p.task]
+		pl := p.job.Assigned[p.task]
 		if len(cmds) >= limits.MaxCommands {
 			break
 		}
 		if p.job.Cancelled || !m.Usable(c.now.Steady, c.pool.Report) {
-			c.take(p.job, p.task)
+			c.unassign(p.job, p.task)
 			continue
 		}
 		pl.State = jobs.Sent
-		c.put(p.job, p.task, pl)
+		c.assign(p.job, p.task, pl)
 		cmds = append(cmds, wire.Command{Verb: wire.VerbLaunch, Task: id, Attempt: pl.Attempt})
 	}
 	return cmds
@@ -326,16 +344,16 @@
 // manageMachines gives up what is silent, expired, broken or recalled.
 func (c *Core) manageMachines() {
 	t := c.now.Steady
-	if len(c.active) == 0 || t < c.nextRun {
+	if len(c.active) == 0 || t < c.nextMachineCheck {
 		return
 	}
-	c.nextRun = t + limits.TickEvery
+	c.nextMachineCheck = t + limits.TickInterval
 	heard := time.Duration(0)
 	for _, m := range c.pool.Machines {
-		heard = max(heard, m.Heard)
+		heard = max(heard, m.LastReport)
 	}
-	many, most := c.manySilent(), c.mostFound()
-	c.askSilent()
+	many, most := c.massSilence(), c.mostMachinesFound()
+	c.probeSilent()
 	for _, m := range c.pool.Sorted() {
 		if !m.Lost && c.pool.Expired(m, t) {
 			m.Lost = true
@@ -343,84 +361,105 @@
 			c.log("info", "machine's lease is over", "machine", m.ID, "tasks", c.tasksOn(m.ID))
 			c.clearMachine(m.ID)
 		}
-		// Not after a takeover, when all that was launched before waits for them,
-		// nor when others are to be had: their tasks go on sooner there.
-		patient := many && !m.Spot && !c.missing(m) && c.fleet.Refused(fleet.Kind{Class: m.Class, Zone: m.Zone}) && t-m.Heard < limits.ManyLeases*c.pool.Lease
-		if !m.Deleting && !patient && c.silent(m, heard, most) && c.own.MayLaunch() {
-			if r := c.fleet.Know(m.ID, fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, m.Heard); r != nil && (r.Up || m.Lost || r.Listed == wire.MachineRunning || t-r.Since > c.bootTime(m.Class)) {
-				if m.Spot && m.Recall == 0 {
-					c.fleet.SpotLost()
-				}
-				c.remove(m, "silent")
-			}
-		}
-		if m.Recall != 0 && !m.Deleting && t > m.Recall+limits.RecallSlack && m.Heard < m.Recall && c.own.MayLaunch() {
-			c.remove(m, "recalled")
-		}
-		// A faulty machine goes with what it runs, which would fail as well.
-		if m.Draining && !m.Deleting && m.Adopted && (m.Faulty || c.tasksOn(m.ID) == 0) && c.own.MayLaunch() && !c.holdsResults(m) {
-			c.remove(m, "drained")
+		if c.ownership.MayLaunch() && !m.Deleting {
+			c.returnIfBroken(m, many && c.waitsForSilent(m), c.isSilent(m, heard, most))
 		}
 		// Plans for a machine that went quiet are taken back: nothing was sent.
-		if h := c.on[m.ID]; h != nil && h.planned > 0 && !m.Usable(t, c.pool.Report) {
-			for _, id := range h.plannedOn() {
-				c.take(h.tasks[id].job, h.tasks[id].task)
+		if h := c.loads[m.ID]; h != nil && h.planned > 0 && !m.Usable(t, c.pool.Report) {
+			for _, id := range h.plannedTaskIDs() {
+				c.unassign(h.tasks[id].job, h.tasks[id].task)
 			}
 		}
 	}
 }
 
-// heard takes note of a report that counted, for what silence means.
-func (c *Core) heard(m *workers.Machine, found bool) {
+// returnIfBroken returns a machine that is silent, recalled, faulty or drained.
+func (c *Core) returnIfBroken(m *workers.Machine, patient, silent bool) {
+	t := c.now.Steady
+	switch {
+	case !patient && silent && c.wasUp(m):
+		if m.Spot && m.Recall == 0 {
+			c.fleet.SpotLost()
+		}
+		c.returnMachine(m, "silent")
+	case m.Recall != 0 && t > m.Recall+limits.RecallSlack && m.LastReport < m.Recall:
+		c.returnMachine(m, "recalled")
+	case m.Draining && m.Adopted && (m.Faulty || c.tasksOn(m.ID) == 0) && !c.holdsResults(m):
+		// A faulty machine goes with what it runs, which would fail as well.
+		c.returnMachine(m, "drained")
+	}
+}
+
+// waitsForSilent tells whether a silent machine may be waited for when many are silent: not
+// after a takeover, when all that was launched before waits for it, nor when others of its
+// kind are to be had, where its tasks go on sooner.
+func (c *Core) waitsForSilent(m *workers.Machine) bool {
+	return !m.Spot && !c.awaitedByTakeover(m) && c.fleet.Refused(fleet.Kind{Class: m.Class, Zone: m.Zone}) &&
+		c.now.Steady-m.LastReport < limits.MassSilenceLeases*c.pool.Lease
+}
+
+// wasUp tells whether a silent machine has been up, or has had the time to boot.
+func (c *Core) wasUp(m *workers.Machine) bool {
+	r := c.fleet.Track(m.ID, kindOf(m), m.LastReport)
+	return r != nil && (r.Up || m.Lost || r.Listed == wire.MachineRunning || c.now.Steady-r.Since > c.bootLimit(m.Class))
+}
+
+// kindOf is the kind that a machine was rented as.
+func kindOf(m *workers.Machine) fleet.Kind {
+	return fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}
+}
+
+// recordReport takes note of a report that counted, for what silence means.
+func (c *Core) recordReport(m *workers.Machine, found bool) {
 	t := c.now.Steady
-	if t-c.lastReport > c.quiet() {
-		c.backAt = t
+	if t-c.lastReport > c.maxReportGap() {
+		c.reportsResumedAt = t
 	}
 	c.lastReport = t
-	if !found && c.roster[m.ID].Up {
-		c.newcomer = t
+	if !found && c.machineRecords[m.ID].Up {
+		c.lastNewMachine = t
 	}
 }
 
-// quiet is for how long there may be no report at all from many machines.
-func (c *Core) quiet() time.Duration {
-	return max(limits.DesertedFloor, time.Duration(limits.DesertedReports*float64(c.pool.Report)))
+// maxReportGap is for how long there may be no report at all from many machines.
+func (c *Core) maxReportGap() time.Duration {
+	return max(limits.UnreachableFloor, time.Duration(limits.UnreachableReports*float64(c.pool.Report)))
 }
 
-// silence is for how long a machine has been silent while others were heard.
+// silentFor is for how long a machine has been silent while others were heard.
 // Guards against an owner that was cut off from all workers: as soon as one was
 // heard again, it returned all the others, with their tasks.
-func (c *Core) silence(m *workers.Machine) time.Duration {
-	return c.now.Steady - max(m.Heard, c.backAt)
+func (c *Core) silentFor(m *workers.Machine) time.Duration {
+	return c.now.Steady - max(m.LastReport, c.reportsResumedAt)
 }
 
-// visited names a peer to which workers of our classes come in vain, if there is one.
-func (c *Core) visited() string {
+// reachableSuccessor names a peer to which workers of our classes come in vain, if there is one.
+func (c *Core) reachableSuccessor() string {
 	best := ""
-	for _, p := range c.set.Others {
-		if at, ok := c.visits[p.Label]; ok && c.now.Steady-at < limits.VisitedFor && (best == "" || at > c.visits[best]) {
+	for _, p := range c.settings.Others {
+		if at, ok := c.foreignArrivals[p.Label]; ok && c.now.Steady-at < limits.ForeignArrivalFor && (best == "" || at > c.foreignArrivals[best]) {
 			best = p.Label
 		}
 	}
 	return best
 }
 
-// deserted tells whether no worker reaches this owner any more, though many did:
+// workersUnreachable tells whether no worker reaches this owner any more, though many did:
 // it is cut off from them, and keeps its classes all the same as long as it
 // reaches the state service. Guards against a day on which all machines lost their
 // tasks that way. Whoever was never heard as owner waits longer, for workers whose
 // reports hang on the node before, unless workers come to another node in vain.
-func (c *Core) deserted() bool {
-	if len(c.active) == 0 || !c.own.LeaseValid() {
+func (c *Core) workersUnreachable() bool {
+	if len(c.active) == 0 || !c.ownership.LeaseValid() {
 		return false
 	}
 	// What is turned away, in an outage without promises, has arrived all the same.
-	last, wait := c.lastKnock, c.quiet()
+	last, wait := c.lastArrival, c.maxReportGap()
 	for class := range c.active {
-		if cl := c.own.Claims()[class]; cl != nil && cl.Since > last {
+		if cl := c.ownership.Claims()[class]; cl != nil && cl.Since > last {
 			last = cl.Since
-			if c.visited() == "" {
-				wait = c.quiet() + limits.SilentRetry
+			if c.reachableSuccessor() == "" {
+				wait = c.maxReportGap() + limits.SilentRetry
 			}
 		}
 	}
@@ -429,36 +468,36 @@
 	}
 	up := 0
 	for id, m := range c.pool.Machines {
-		if c.roster[id].Up && !m.Deleting {
+		if c.machineRecords[id].Up && !m.Deleting {
 			up++
 		}
 	}
-	return up >= limits.ManyLeast
+	return up >= limits.MassSilenceLeast
 }
 
-// manySilent tells whether many ordinary machines are silent at once. Nobody takes
+// massSilence tells whether many ordinary machines are silent at once. Nobody takes
 // those back, so they hang or are cut off and may go on, some within their
 // lease; deleted, they may not be had again. Guards against an incident in which
 // half the fleet was returned 11 s into such a silence.
-func (c *Core) manySilent() bool {
+func (c *Core) massSilence() bool {
 	all, silent := 0, 0
 	for _, m := range c.pool.Machines {
 		if m.Spot || m.Deleting {
 			continue
 		}
 		all++
-		if c.silence(m) > c.pool.Report*5/4+limits.TakeoverSlack {
+		if c.silentFor(m) > c.pool.Report*5/4+limits.TakeoverSlack {
 			silent++
 		}
 	}
-	return silent >= limits.ManyLeast && float64(silent) > limits.ManyPart*float64(all)
+	return silent >= limits.MassSilenceLeast && float64(silent) > limits.MassSilenceShare*float64(all)
 }
 
-// mostFound tells whether most machines that an earlier owner had found this one.
-func (c *Core) mostFound() bool {
+// mostMachinesFound tells whether most machines that an earlier owner had found this one.
+func (c *Core) mostMachinesFound() bool {
 	all, found := 0, 0
 	for id, m := range c.pool.Machines {
-		if c.roster[id].Up {
+		if c.machineRecords[id].Up {
 			all++
 			if m.Term != 0 {
 				found++
@@ -468,29 +507,31 @@
 	return float64(found) >= limits.TakeoverHeard*float64(all)
 }
 
-// silent tells whether a machine is given up for its silence: a deletion proves
+// isSilent tells whether a machine is given up for its silence: a deletion proves
 // it empty sooner than its lease would. Not when all are silent, for then the
 // fault is ours. After a takeover the jobs of an earlier owner wait for every
 // machine, so those that did not find the new owner with most others go sooner.
-func (c *Core) silent(m *workers.Machine, heard time.Duration, most bool) bool {
+func (c *Core) isSilent(m *workers.Machine, heard time.Duration, most bool) bool {
 	t := c.now.Steady
 	if t-heard >= 2*c.pool.Report {
 		return false
 	}
 	// Answered once and silent since counts as well: guards against a takeover
 	// that waited three reports for machines that were lost in its midst.
-	if c.missing(m) && c.silence(m) > c.pool.Report*5/4+limits.TakeoverSlack {
+	if c.awaitedByTakeover(m) && c.silentFor(m) > c.pool.Report*5/4+limits.TakeoverSlack {
 		// As long as others still arrive it may only be slow to find us.
-		if t-c.newcomer < limits.TakeoverPause {
+		if t-c.lastNewMachine < limits.TakeoverPause {
 			return false
 		}
-		return most && (m.Mute || m.Address == "" || c.silence(m) > c.pool.Report*5/4+limits.SilentRetry)
+		return most && (m.ProbeFailed || m.Address == "" || c.silentFor(m) > c.pool.Report*5/4+limits.SilentRetry)
 	}
-	return c.silence(m) > c.pool.SilentFor()
+	return c.silentFor(m) > c.pool.SilentFor()
 }
 
-// missing tells whether a takeover still waits for a machine.
-func (c *Core) missing(m *workers.Machine) bool { return !m.Resolved() && c.roster[m.ID].Up }
+// awaitedByTakeover tells whether a takeover still waits for a machine.
+func (c *Core) awaitedByTakeover(m *workers.Machine) bool {
+	return !m.Resolved() && c.machineRecords[m.ID].Up
+}
 
 // holdsResults tells whether the machine reports completions that are not
 // durable yet: they would have to be run again.
@@ -498,7 +539,7 @@
 	for _, t := range m.Tasks {
 		if t.State == wire.TaskEnded && t.Cause == wire.CauseDone {
 			job, task := jobs.SplitTask(t.Task)
-			if j := c.book.Open[job]; j != nil && task >= 0 && task < j.Tasks && !j.Durable(task) {
+			if j := c.jobs.Open[job]; j != nil && task >= 0 && task < j.Tasks && !j.IsDurable(task) {
 				return true
 			}
 		}
@@ -506,18 +547,18 @@
 	return false
 }
 
-func (c *Core) bootTime(class string) time.Duration {
+func (c *Core) bootLimit(class string) time.Duration {
 	if t := c.fleet.Types[class]; t != nil {
 		return limits.Seconds(t.BootS*limits.BootFactor) + limits.BootSlack
 	}
 	return limits.BootSlack
 }
 
-func (c *Core) remove(m *workers.Machine, why string) {
+func (c *Core) returnMachine(m *workers.Machine, why string) {
 	if m.Deleting {
 		return
 	}
 	m.Deleting = true
-	c.fleet.Know(m.ID, fleet.Kind{Class: m.Class, Zone: m.Zone, Spot: m.Spot}, m.Heard)
+	c.fleet.Track(m.ID, kindOf(m), m.LastReport)
 	c.fleet.Delete(m.ID, why)
 }
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -35,7 +35,7 @@
 			if s.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return
 			}
-			time.Sleep(limits.TickEvery)
+			time.Sleep(limits.TickInterval)
 			continue
 		}
 		go server.ServeConn(c)
@@ -105,5 +105,5 @@
 	if err != nil {
 		s.log.Debug("peer not reached", "peer", x.Peer, "error", err)
 	}
-	s.send(event{in: PeerReply{Call: x, Answer: answer}})
+	s.send(inboxEvent{in: PeerReply{Call: x, Answer: answer}})
 }
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -24,49 +24,49 @@
 	"umberpaddle/internal/wire"
 )
 
-// event is an input on its way to the loop; the answer, if one is expected,
+// inboxEvent is an input on its way to the loop; the answer, if one is expected,
 // comes back on the channel.
-type event struct {
-	in     any
-	answer chan Answer
-	make   func(ref uint64) any
-	ctx    context.Context // of a user who may stop waiting; nil: none
+type inboxEvent struct {
+	in       any
+	answer   chan Answer
+	newInput func(ref uint64) any
+	ctx      context.Context // of a user who may stop waiting; nil: none
 }
 
 // Server is the loop that owns the core, and the sockets around it.
 type Server struct {
 	set   *config.Settings
 	core  *Core
-	inbox chan event
+	inbox chan inboxEvent
 	// questions are users' questions about jobs: a stage of their own with a small
 	// buffer, from which the loop takes only when nothing else waits.
-	questions chan event
-	start     time.Time
-	log       *slog.Logger
-	refs      map[uint64]chan Answer
-	ref       uint64
-	state     *http.Client
-	cloud     *http.Client
-	work      *http.Client
-	peers     map[string]*peer
-	conns     atomic.Int64
-	crowd     int64 // above this many connections users' are not kept open
-	full      int64 // above this many connections new ones are closed
-	ctx       context.Context
+	questions       chan inboxEvent
+	start           time.Time
+	log             *slog.Logger
+	refs            map[uint64]chan Answer
+	ref             uint64
+	state           *http.Client
+	cloud           *http.Client
+	workers         *http.Client
+	peers           map[string]*peer
+	conns           atomic.Int64
+	keepAliveLimit  int64 // above this many connections users' are not kept open
+	connectionLimit int64 // above this many connections new ones are closed
+	ctx             context.Context
 }
 
 // NewServer prepares a controller process.
 func NewServer(set *config.Settings, ops *config.Operator, log *slog.Logger) *Server {
-	s := &Server{set: set, inbox: make(chan event, limits.Inbox), questions: make(chan event, limits.Questions), start: time.Now(), log: log,
+	s := &Server{set: set, inbox: make(chan inboxEvent, limits.Inbox), questions: make(chan inboxEvent, limits.Questions), start: time.Now(), log: log,
 		refs: map[uint64]chan Answer{}, peers: map[string]*peer{}}
 	sockets := float64(set.Cluster.Resources.MaxSockets)
-	s.crowd = int64(sockets * (1 - limits.SocketReserve))
-	s.full = int64(sockets * (1 - limits.SocketReserve/4))
+	s.keepAliveLimit = int64(sockets * (1 - limits.SocketReserve))
+	s.connectionLimit = int64(sockets * (1 - limits.SocketReserve/4))
 	s.state = &http.Client{Transport: transport(limits.StoreInFlight + 4)}
 	s.cloud = &http.Client{Transport: transport(4)}
 	work := transport(1)
-	work.MaxIdleConns = limits.OrdersInFlight
-	s.work = &http.Client{Transport: work}
+	work.MaxIdleConns = limits.DirectInFlight
+	s.workers = &http.Client{Transport: work}
 	for _, p := range set.Others {
 		s.peers[p.Label] = &peer{addr: p.Addr}
 	}
@@ -124,7 +124,7 @@
 	go func() { errs <- server.Serve(&countedListener{Listener: api, s: s}) }()
 	go s.servePeers(bind)
 	s.log.Info("serving", "node", s.set.Label, "api", s.set.APIAddr)
-	tick := time.NewTicker(limits.TickEvery)
+	tick := time.NewTicker(limits.TickInterval)
 	defer tick.Stop()
 	for {
 		// Guards against reports, leases and submissions that wait behind users who
@@ -134,7 +134,7 @@
 			s.handle(e)
 			continue
 		case <-tick.C:
-			s.handle(event{in: Tick{}})
+			s.handle(inboxEvent{in: Tick{}})
 			continue
 		default:
 		}
@@ -147,7 +147,7 @@
 		case e := <-s.inbox:
 			s.handle(e)
 		case <-tick.C:
-			s.handle(event{in: Tick{}})
+			s.handle(inboxEvent{in: Tick{}})
 		case e := <-s.questions:
 			// A question whose user has stopped waiting costs no further work.
 			if e.ctx.Err() == nil {
@@ -158,11 +158,11 @@
 }
 
 // handle feeds one event to the core and does what it returns.
-func (s *Server) handle(e event) {
-	if e.make != nil {
+func (s *Server) handle(e inboxEvent) {
+	if e.newInput != nil {
 		s.ref++
 		s.refs[s.ref] = e.answer
-		e.in = e.make(s.ref)
+		e.in = e.newInput(s.ref)
 	}
 	for _, o := range s.step(e.in) {
 		switch x := o.(type) {
@@ -175,21 +175,21 @@
 			s.writeLog(x)
 		case statestore.Call:
 			go func() {
-				status, body := s.do(s.state, s.set.External.State, x.Method, x.Path, x.Body, x.Timeout)
-				s.send(event{in: StoreReply{x.ID, status, body}})
+				status, body := s.request(s.state, s.set.External.State, x.Method, x.Path, x.Body, x.Timeout)
+				s.send(inboxEvent{in: StoreReply{x.ID, status, body}})
 			}()
 		case fleet.Call:
 			go func() {
-				status, body := s.do(s.cloud, s.set.External.Cloud, x.Method, x.Path, x.Body, x.Timeout)
-				s.send(event{in: CloudReply{x.ID, status, body}})
+				status, body := s.request(s.cloud, s.set.External.Cloud, x.Method, x.Path, x.Body, x.Timeout)
+				s.send(inboxEvent{in: CloudReply{x.ID, status, body}})
 			}()
-		case OrderCall:
+		case DirectCall:
 			go func() {
 				status, body, unsent := 0, []byte(nil), true
 				if s.now().Steady < x.Until {
-					status, body, unsent = s.try(s.work, x.Address, "POST", "/orders", x.Body, limits.OrderTimeout)
+					status, body, unsent = s.requestTracked(s.workers, x.Address, "POST", "/orders", x.Body, limits.DirectTimeout)
 				}
-				s.send(event{in: OrderReply{x.ID, status, body, unsent}})
+				s.send(inboxEvent{in: DirectReply{x.ID, status, body, unsent}})
 			}()
 		case PeerCall:
 			go s.callPeer(x)
@@ -204,7 +204,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			s.log.Error("fault in the core, starting it afresh", "fault", fmt.Sprint(p), "stack", string(debug.Stack()))
-			s.core = NewCore(s.set, s.core.ops, s.now(), rand.Uint64()>>1|1)
+			s.core = NewCore(s.set, s.core.operator, s.now(), rand.Uint64()>>1|1)
 			for ref, ch := range s.refs {
 				delete(s.refs, ref)
 				ch <- Answer{Ref: ref, Status: 503, RetryAfter: limits.RetryAfterS}
@@ -226,7 +226,7 @@
 	s.log.Log(s.ctx, level, x.Msg, x.Args...)
 }
 
-func (s *Server) send(e event) bool {
+func (s *Server) send(e inboxEvent) bool {
 	select {
 	case s.inbox <- e:
 		return true
@@ -237,17 +237,17 @@
 
 // ask sends an input and waits for its answer.
 func (s *Server) ask(make_ func(ref uint64) any, wait time.Duration) (Answer, bool) {
-	return s.enter(s.ctx, s.inbox, make_, wait, wait)
+	return s.enqueue(s.ctx, s.inbox, make_, wait, wait)
 }
 
-// enter sends an input to a stage, waits for room there for a while, and then for
+// enqueue sends an input to a stage, waits for room there for a while, and then for
 // the answer.
-func (s *Server) enter(ctx context.Context, stage chan event, make_ func(ref uint64) any, room, wait time.Duration) (Answer, bool) {
+func (s *Server) enqueue(ctx context.Context, stage chan inboxEvent, make_ func(ref uint64) any, room, wait time.Duration) (Answer, bool) {
 	ch := make(chan Answer, 1)
 	t := time.NewTimer(room)
 	defer t.Stop()
 	select {
-	case stage <- event{make: make_, answer: ch, ctx: ctx}:
+	case stage <- inboxEvent{newInput: make_, answer: ch, ctx: ctx}:
 	case <-t.C:
 		return Answer{}, false
 	case <-s.ctx.Done():
@@ -264,14 +264,14 @@
 	}
 }
 
-// do makes one HTTP request; status 0 is no answer.
-func (s *Server) do(client *http.Client, host, method, path string, body any, timeout time.Duration) (int, []byte) {
-	status, b, _ := s.try(client, host, method, path, body, timeout)
+// request makes one HTTP request; status 0 is no answer.
+func (s *Server) request(client *http.Client, host, method, path string, body any, timeout time.Duration) (int, []byte) {
+	status, b, _ := s.requestTracked(client, host, method, path, body, timeout)
 	return status, b
 }
 
-// try is do; unsent tells that there was no connection to send anything on.
-func (s *Server) try(client *http.Client, host, method, path string, body any, timeout time.Duration) (status int, answer []byte, unsent bool) {
+// requestTracked is do; unsent tells that there was no connection to send anything on.
+func (s *Server) requestTracked(client *http.Client, host, method, path string, body any, timeout time.Duration) (status int, answer []byte, unsent bool) {
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
 	var rd io.Reader
@@ -319,8 +319,8 @@
 	})
 	mux.HandleFunc("GET /work/{id}", func(w http.ResponseWriter, r *http.Request) {
 		id := r.PathValue("id")
-		s.crowded(w)
-		a, ok := s.enter(r.Context(), s.questions, func(ref uint64) any { return Query{ref, id} }, limits.QuestionRoom, limits.QuestionEdge)
+		s.limitKeepAlive(w)
+		a, ok := s.enqueue(r.Context(), s.questions, func(ref uint64) any { return Query{ref, id} }, limits.QuestionRoom, limits.QuestionEdge)
 		s.answerUser(w, a, ok)
 	})
 	mux.HandleFunc("POST /work/{id}/cancel", func(w http.ResponseWriter, r *http.Request) {
@@ -352,14 +352,14 @@
 }
 
 func (s *Server) user(w http.ResponseWriter, make_ func(uint64) any) {
-	s.crowded(w)
+	s.limitKeepAlive(w)
 	a, ok := s.ask(make_, limits.EdgeTimeout)
 	s.answerUser(w, a, ok)
 }
 
-// crowded lets a user's connection end when there are many.
-func (s *Server) crowded(w http.ResponseWriter) {
-	if s.conns.Load() > s.crowd {
+// limitKeepAlive lets a user's connection end when there are many.
+func (s *Server) limitKeepAlive(w http.ResponseWriter) {
+	if s.conns.Load() > s.keepAliveLimit {
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -425,10 +425,10 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil, err
 			}
-			time.Sleep(limits.TickEvery) // no socket free: others will close
+			time.Sleep(limits.TickInterval) // no socket free: others will close
 			continue
 		}
-		if l.s.conns.Load() >= l.s.full {
+		if l.s.conns.Load() >= l.s.connectionLimit {
 			c.Close()
 			continue
 		}
