--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -15,7 +15,7 @@
 
 // Tell takes a message and answers it.
 func (p *Peer) Tell(m PeerMessage, answer *PeerAnswer) error {
-	a, ok := p.s.ask(func(ref uint64) any { return PeerRequest{ref, m} }, limits.PeerTimeout)
+	a, ok := p.s.ask(func(ref uint64) Input { return PeerRequest{ref, m} }, limits.PeerTimeout)
 	if !ok {
 		return errors.New("no answer from the loop")
 	}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -18,18 +18,16 @@
 	"time"
 
 	"umberpaddle/internal/config"
-	"umberpaddle/internal/fleet"
 	"umberpaddle/internal/limits"
-	"umberpaddle/internal/statestore"
 	"umberpaddle/internal/wire"
 )
 
 // inboxEvent is an input on its way to the loop; the answer, if one is expected,
 // comes back on the channel.
 type inboxEvent struct {
-	in       any
+	in       Input
 	answer   chan Answer
-	newInput func(ref uint64) any
+	newInput func(ref uint64) Input
 	ctx      context.Context // of a user who may stop waiting; nil: none
 }
 
@@ -173,12 +171,12 @@
 			}
 		case Log:
 			s.writeLog(x)
-		case statestore.Call:
+		case StoreCall:
 			go func() {
 				status, body := s.request(s.state, s.set.External.State, x.Method, x.Path, x.Body, x.Timeout)
 				s.send(inboxEvent{in: StoreReply{x.ID, status, body}})
 			}()
-		case fleet.Call:
+		case CloudCall:
 			go func() {
 				status, body := s.request(s.cloud, s.set.External.Cloud, x.Method, x.Path, x.Body, x.Timeout)
 				s.send(inboxEvent{in: CloudReply{x.ID, status, body}})
@@ -200,7 +198,7 @@
 // step guards the loop: a fault in the core must not end the process. What the
 // core knew may be wrong then, so it starts afresh as after a restart, with a
 // name of its own; its claims end with its lease.
-func (s *Server) step(in any) (out []any) {
+func (s *Server) step(in Input) (out []Output) {
 	defer func() {
 		if p := recover(); p != nil {
 			s.log.Error("fault in the core, starting it afresh", "fault", fmt.Sprint(p), "stack", string(debug.Stack()))
@@ -236,18 +234,18 @@
 }
 
 // ask sends an input and waits for its answer.
-func (s *Server) ask(make_ func(ref uint64) any, wait time.Duration) (Answer, bool) {
-	return s.enqueue(s.ctx, s.inbox, make_, wait, wait)
+func (s *Server) ask(newInput func(ref uint64) Input, wait time.Duration) (Answer, bool) {
+	return s.enqueue(s.ctx, s.inbox, newInput, wait, wait)
 }
 
 // enqueue sends an input to a stage, waits for room there for a while, and then for
 // the answer.
-func (s *Server) enqueue(ctx context.Context, stage chan inboxEvent, make_ func(ref uint64) any, room, wait time.Duration) (Answer, bool) {
+func (s *Server) enqueue(ctx context.Context, stage chan inboxEvent, newInput func(ref uint64) Input, room, wait time.Duration) (Answer, bool) {
 	ch := make(chan Answer, 1)
 	t := time.NewTimer(room)
 	defer t.Stop()
 	select {
-	case stage <- inboxEvent{newInput: make_, answer: ch, ctx: ctx}:
+	case stage <- inboxEvent{newInput: newInput, answer: ch, ctx: ctx}:
 	case <-t.C:
 		return Answer{}, false
 	case <-s.ctx.Done():
@@ -314,21 +312,21 @@
 	mux.HandleFunc("POST /work", func(w http.ResponseWriter, r *http.Request) {
 		body, ok := readBody(w, r)
 		if ok {
-			s.user(w, func(ref uint64) any { return Submit{ref, body} })
+			s.user(w, func(ref uint64) Input { return Submit{ref, body} })
 		}
 	})
 	mux.HandleFunc("GET /work/{id}", func(w http.ResponseWriter, r *http.Request) {
 		id := r.PathValue("id")
 		s.limitKeepAlive(w)
-		a, ok := s.enqueue(r.Context(), s.questions, func(ref uint64) any { return Query{ref, id} }, limits.QuestionRoom, limits.QuestionEdge)
+		a, ok := s.enqueue(r.Context(), s.questions, func(ref uint64) Input { return Query{ref, id} }, limits.QuestionRoom, limits.QuestionEdge)
 		s.answerUser(w, a, ok)
 	})
 	mux.HandleFunc("POST /work/{id}/cancel", func(w http.ResponseWriter, r *http.Request) {
 		id := r.PathValue("id")
-		s.user(w, func(ref uint64) any { return Cancel{ref, id} })
+		s.user(w, func(ref uint64) Input { return Cancel{ref, id} })
 	})
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
-		a, ok := s.ask(func(ref uint64) any { return Ready{ref} }, limits.EdgeTimeout)
+		a, ok := s.ask(func(ref uint64) Input { return Ready{ref} }, limits.EdgeTimeout)
 		if !ok {
 			a = Answer{Status: 503}
 		}
@@ -351,9 +349,9 @@
 	return b, true
 }
 
-func (s *Server) user(w http.ResponseWriter, make_ func(uint64) any) {
+func (s *Server) user(w http.ResponseWriter, newInput func(uint64) Input) {
 	s.limitKeepAlive(w)
-	a, ok := s.ask(make_, limits.EdgeTimeout)
+	a, ok := s.ask(newInput, limits.EdgeTimeout)
 	s.answerUser(w, a, ok)
 }
 
@@ -387,7 +385,7 @@
 		reply(w, Answer{Status: 400})
 		return
 	}
-	a, ok := s.ask(func(ref uint64) any { return Checkin{ref, rep} }, limits.EdgeTimeout)
+	a, ok := s.ask(func(ref uint64) Input { return Checkin{ref, rep} }, limits.EdgeTimeout)
 	// What was decided before a standstill must not leave after it.
 	if !ok || (a.Until > 0 && s.now().Steady >= a.Until) {
 		a = Answer{Status: 503}
--- a/internal/jobs/users.go
+++ b/internal/jobs/users.go
@@ -107,6 +107,7 @@
 	b.submissions = nil
 }
 
+// commit makes a group of submissions durable in one transaction.
 func (b *Registry) commit(group []*submission) {
 	var t wire.Txn
 	for _, s := range group {
@@ -118,30 +119,9 @@
 		decoded := wire.Decode(r.Body, &tr) == nil
 		switch {
 		case r.Status == statestore.OK && decoded:
-			for _, s := range group {
-				// The mirror may have it already, or even have seen it end.
-				if b.Open[s.job.ID] == nil && b.store.Mirror.Revision < tr.Revision {
-					raw, _ := wire.Encode(s.job)
-					b.store.Mirror.Put(keyJob+s.job.ID, raw, tr.Revision)
-				}
-				b.log("info", "job accepted", "job", s.job.ID, "team", s.job.Team, "tasks", s.job.Tasks)
-				st := wire.JobStatus{ID: s.job.ID, Status: wire.StatusPending}
-				b.respond(s, Answer{Status: 201, Body: st}, Answer{Status: 200, Body: st})
-			}
+			b.accepted(group, tr.Revision)
 		case r.Status == statestore.Conflict && decoded:
-			failed := map[string]bool{}
-			for _, k := range tr.Failed {
-				failed[k] = true
-			}
-			for _, s := range group {
-				s := s
-				if failed[keyJob+s.job.ID] || failed[keyFinal+s.job.ID] {
-					// Known already: the present state, as a query would tell it.
-					b.lookUp(&lookup{id: s.job.ID, until: s.until, answer: func(a Answer) { b.respond(s, a, a) }})
-				} else {
-					b.resubmit(s)
-				}
-			}
+			b.conflicted(group, failedKeys(tr))
 		case r.Status == statestore.BadRequest && len(group) > 1:
 			// Guards against one record that the state service refuses for its size or
 			// form, and with it those of all who share its transaction.
@@ -158,6 +138,42 @@
 	})
 }
 
+// failedKeys lists the keys whose conditions failed.
+func failedKeys(tr wire.TxnReply) map[string]bool {
+	failed := map[string]bool{}
+	for _, key := range tr.Failed {
+		failed[key] = true
+	}
+	return failed
+}
+
+// accepted answers submissions that are durable now.
+func (b *Registry) accepted(group []*submission, revision uint64) {
+	for _, s := range group {
+		// The mirror may have it already, or even have seen it end.
+		if b.Open[s.job.ID] == nil && b.store.Mirror.Revision < revision {
+			if raw, err := wire.Encode(s.job); err == nil {
+				b.store.Mirror.Put(keyJob+s.job.ID, raw, revision)
+			}
+		}
+		b.log("info", "job accepted", "job", s.job.ID, "team", s.job.Team, "tasks", s.job.Tasks)
+		st := wire.JobStatus{ID: s.job.ID, Status: wire.StatusPending}
+		b.respond(s, Answer{Status: 201, Body: st}, Answer{Status: 200, Body: st})
+	}
+}
+
+// conflicted answers the submissions of a group that are known already with their present
+// state, as a query would tell it, and sends the others once more.
+func (b *Registry) conflicted(group []*submission, failed map[string]bool) {
+	for _, s := range group {
+		if failed[keyJob+s.job.ID] || failed[keyFinal+s.job.ID] {
+			b.lookUp(&lookup{id: s.job.ID, until: s.until, answer: func(a Answer) { b.respond(s, a, a) }})
+		} else {
+			b.resubmit(s)
+		}
+	}
+}
+
 func (b *Registry) resubmit(s *submission) {
 	if b.now >= s.until {
 		b.respond(s, RetryLater(), RetryLater())
@@ -230,24 +246,7 @@
 	if b.lookupInFlight || len(b.lookups) == 0 {
 		return
 	}
-	var t wire.Txn
-	var group []*lookup
-	for len(b.lookups) > 0 && len(t.Guards)+2 <= b.store.TxnGuards {
-		a := b.lookups[0]
-		b.lookups = b.lookups[1:]
-		if a.over() {
-			continue
-		}
-		if a.cancel && b.Open[a.id] != nil {
-			b.cancel(a, b.Open[a.id].version)
-			continue
-		}
-		t.Guards = append(t.Guards, wire.Guard{Key: keyFinal + a.id})
-		if b.Open[a.id] == nil {
-			t.Guards = append(t.Guards, wire.Guard{Key: keyJob + a.id})
-		}
-		group = append(group, a)
-	}
+	group, t := b.nextLookups()
 	if len(group) == 0 {
 		return
 	}
@@ -261,14 +260,11 @@
 			}
 			return
 		}
-		failed := map[string]bool{}
-		for _, k := range tr.Failed {
-			failed[k] = true
-		}
 		asked := map[string]bool{}
 		for _, g := range t.Guards {
 			asked[g.Key] = true
 		}
+		failed := failedKeys(tr)
 		for _, a := range group {
 			switch {
 			case failed[keyFinal+a.id]:
@@ -284,11 +280,33 @@
 	})
 }
 
+// nextLookups takes as many waiting questions as one transaction can answer. Cancellations of
+// jobs that are known go out on their own.
+func (b *Registry) nextLookups() (group []*lookup, t wire.Txn) {
+	for len(b.lookups) > 0 && len(t.Guards)+2 <= b.store.TxnGuards {
+		a := b.lookups[0]
+		b.lookups = b.lookups[1:]
+		if a.over() {
+			continue
+		}
+		j := b.Open[a.id]
+		if a.cancel && j != nil {
+			b.cancel(a, j.version)
+			continue
+		}
+		t.Guards = append(t.Guards, wire.Guard{Key: keyFinal + a.id})
+		if j == nil {
+			t.Guards = append(t.Guards, wire.Guard{Key: keyJob + a.id})
+		}
+		group = append(group, a)
+	}
+	return group, t
+}
+
 func (b *Registry) readFinal(a *lookup) {
 	b.store.Get(statestore.User, limits.PollWait, keyFinal+a.id, func(r statestore.Reply) {
-		var row wire.Row
-		var f finalState
-		if r.Status != statestore.OK || wire.Decode(r.Body, &row) != nil || wire.Decode(row.Value, &f) != nil || f.Status == "" {
+		f, ok := decodeFinal(r)
+		if !ok {
 			a.answer(RetryLater())
 			return
 		}
--- a/internal/ownership/rduc.go
+++ b/internal/ownership/rduc.go
@@ -1,6 +1,9 @@
 package ownership
 
-import "sort"
+import (
+	"maps"
+	"slices"
+)
 
 // Demand maps each team with unfinished jobs to the machine classes that those
 // jobs may use.
@@ -17,33 +20,33 @@
 			teamsOf[c] = append(teamsOf[c], team)
 		}
 	}
-	classes := make([]string, 0, len(teamsOf))
-	for c := range teamsOf {
-		classes = append(classes, c)
-	}
-	sort.Strings(classes)
 	seen := map[string]bool{}
 	var groups [][]string
-	for _, start := range classes {
-		if seen[start] {
-			continue
+	for _, class := range slices.Sorted(maps.Keys(teamsOf)) {
+		if !seen[class] {
+			groups = append(groups, d.connected(class, teamsOf, seen))
 		}
-		seen[start] = true
-		queue := []string{start}
-		for i := 0; i < len(queue); i++ {
-			for _, team := range teamsOf[queue[i]] {
-				for c := range d[team] {
-					if !seen[c] {
-						seen[c] = true
-						queue = append(queue, c)
-					}
+	}
+	return groups
+}
+
+// connected lists, sorted, the classes that teams link with the given one, and marks them as
+// seen.
+func (d Demand) connected(class string, teamsOf map[string][]string, seen map[string]bool) []string {
+	seen[class] = true
+	queue := []string{class}
+	for i := 0; i < len(queue); i++ {
+		for _, team := range teamsOf[queue[i]] {
+			for c := range d[team] {
+				if !seen[c] {
+					seen[c] = true
+					queue = append(queue, c)
 				}
 			}
 		}
-		sort.Strings(queue)
-		groups = append(groups, queue)
 	}
-	return groups
+	slices.Sort(queue)
+	return queue
 }
 
 // Assign maps every class to a node. groups are the RDUCs, classes all known
@@ -55,55 +58,56 @@
 func Assign(groups [][]string, classes []string, owner map[string]string, alive map[string]bool, leader string) map[string]string {
 	result := map[string]string{}
 	load := map[string]int{}
-	var orphans [][]string
-	for _, g := range groups {
-		votes := map[string]int{}
-		best := ""
-		for _, c := range g {
-			if o := owner[c]; alive[o] {
-				votes[o]++
-			}
-		}
-		for o, v := range votes {
-			if best == "" || v > votes[best] || (v == votes[best] && o < best) {
-				best = o
-			}
-		}
-		if best == "" {
-			orphans = append(orphans, g)
-			continue
-		}
-		load[best]++
-		for _, c := range g {
-			result[c] = best
+	give := func(group []string, node string) {
+		load[node]++
+		for _, class := range group {
+			result[class] = node
 		}
 	}
-	names := make([]string, 0, len(alive))
-	for n := range alive {
-		names = append(names, n)
+	var unowned [][]string
+	for _, group := range groups {
+		if node := majorityOwner(group, owner, alive); node != "" {
+			give(group, node)
+		} else {
+			unowned = append(unowned, group)
+		}
 	}
-	sort.Strings(names)
-	for _, g := range orphans {
-		best := leader
-		for _, n := range names {
-			if load[n] < load[best] {
-				best = n
+	nodes := slices.Sorted(maps.Keys(alive))
+	for _, group := range unowned {
+		least := leader
+		for _, node := range nodes {
+			if load[node] < load[least] {
+				least = node
 			}
 		}
-		load[best]++
-		for _, c := range g {
-			result[c] = best
-		}
+		give(group, least)
 	}
-	for _, c := range classes {
-		if _, ok := result[c]; ok {
+	for _, class := range classes {
+		if _, mapped := result[class]; mapped {
 			continue
 		}
-		if o := owner[c]; alive[o] {
-			result[c] = o
-		} else {
-			result[c] = leader
+		result[class] = leader
+		if alive[owner[class]] {
+			result[class] = owner[class]
 		}
 	}
 	return result
 }
+
+// majorityOwner is the live node that owns most classes of a group, the first in name among
+// equals, or nobody.
+func majorityOwner(group []string, owner map[string]string, alive map[string]bool) string {
+	votes := map[string]int{}
+	for _, class := range group {
+		if node := owner[class]; alive[node] {
+			votes[node]++
+		}
+	}
+	best := ""
+	for _, node := range slices.Sorted(maps.Keys(votes)) {
+		if best == "" || votes[node] > votes[best] {
+			best = node
+		}
+	}
+	return best
+}
--- a/internal/statestore/record_table.go
+++ b/internal/statestore/record_table.go
@@ -59,16 +59,16 @@
 func recordSize(id string, value msgpack.RawMessage) int { return len(id) + 2*len(value) + 8 }
 
 func (p *RecordTable) page(key string) *page {
-	sh := p.pages[key]
-	if sh == nil {
+	pg := p.pages[key]
+	if pg == nil {
 		class, _, _ := strings.Cut(strings.TrimPrefix(key, p.prefix), "/")
 		if c, err := url.PathUnescape(class); err == nil {
 			class = c
 		}
-		sh = &page{class: class, key: key, stored: map[string]msgpack.RawMessage{}, pending: map[string]pendingRecord{}}
-		p.pages[key] = sh
+		pg = &page{class: class, key: key, stored: map[string]msgpack.RawMessage{}, pending: map[string]pendingRecord{}}
+		p.pages[key] = pg
 	}
-	return sh
+	return pg
 }
 
 // Apply follows a change of the mirror.
@@ -76,70 +76,82 @@
 	if rest, ok := strings.CutPrefix(c.Key, p.prefix); !ok || !strings.Contains(rest, "/") {
 		return
 	}
-	recs := map[string]msgpack.RawMessage{}
-	if !c.Removed && wire.Decode(c.Entry.Value, &recs) != nil {
+	records := map[string]msgpack.RawMessage{}
+	if !c.Removed && wire.Decode(c.Entry.Value, &records) != nil {
 		return
 	}
-	sh := p.page(c.Key)
-	sh.version = c.Entry.Version
+	pg := p.page(c.Key)
+	pg.version = c.Entry.Version
 	if c.Removed {
-		sh.version = 0
+		pg.version = 0
 	}
-	before := sh.stored
-	sh.stored = recs
+	before := pg.stored
+	pg.stored = records
 	for _, id := range slices.Sorted(maps.Keys(before)) {
-		if _, ok := recs[id]; !ok && p.pageOf[id] == sh {
-			if w, ok := sh.pending[id]; !ok || w.value == nil {
-				delete(p.pageOf, id)
-				delete(sh.pending, id)
-			}
-			p.apply(id, sh.class, nil, true)
+		if _, ok := records[id]; !ok && p.pageOf[id] == pg {
+			p.recordGone(pg, id)
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(recs)) {
-		v := recs[id]
-		if w, ok := sh.pending[id]; ok && bytes.Equal(w.value, v) {
-			delete(sh.pending, id)
+	for _, id := range slices.Sorted(maps.Keys(records)) {
+		value := records[id]
+		if w, ok := pg.pending[id]; ok && bytes.Equal(w.value, value) {
+			delete(pg.pending, id)
 		}
-		if was := p.pageOf[id]; was != nil && was != sh {
-			// It moved: what is still wished for goes along.
-			if w, ok := was.pending[id]; ok {
-				delete(was.pending, id)
-				if !bytes.Equal(w.value, v) {
-					sh.pending[id] = w
-					sh.due = min(sh.due, was.due)
-					sh.urgent = sh.urgent || was.urgent
-				}
-				p.updateSize(was)
-			}
+		if was := p.pageOf[id]; was != nil && was != pg {
+			p.recordMoved(was, pg, id, value)
 		}
-		p.pageOf[id] = sh
-		if old, ok := before[id]; !ok || !bytes.Equal(old, v) {
-			p.apply(id, sh.class, v, false)
+		p.pageOf[id] = pg
+		if old, ok := before[id]; !ok || !bytes.Equal(old, value) {
+			p.apply(id, pg.class, value, false)
 		}
 	}
-	p.updateSize(sh)
+	p.updateSize(pg)
+}
+
+// recordGone follows a record that its key holds no more.
+func (p *RecordTable) recordGone(pg *page, id string) {
+	if w, ok := pg.pending[id]; !ok || w.value == nil {
+		delete(p.pageOf, id)
+		delete(pg.pending, id)
+	}
+	p.apply(id, pg.class, nil, true)
+}
+
+// recordMoved follows a record that another key holds now: what is still to be written of it
+// goes along.
+func (p *RecordTable) recordMoved(from, to *page, id string, value msgpack.RawMessage) {
+	w, ok := from.pending[id]
+	if !ok {
+		return
+	}
+	delete(from.pending, id)
+	if !bytes.Equal(w.value, value) {
+		to.pending[id] = w
+		to.due = min(to.due, from.due)
+		to.urgent = to.urgent || from.urgent
+	}
+	p.updateSize(from)
 }
 
 // Stored returns a record as the mirror has it.
 func (p *RecordTable) Stored(id string) (msgpack.RawMessage, bool) {
-	if sh := p.pageOf[id]; sh != nil {
-		v, ok := sh.stored[id]
+	if pg := p.pageOf[id]; pg != nil {
+		v, ok := pg.stored[id]
 		return v, ok
 	}
 	return nil, false
 }
 
-func (p *RecordTable) updateSize(sh *page) {
-	sh.size = 0
-	for id, v := range sh.stored {
-		if _, ok := sh.pending[id]; !ok {
-			sh.size += recordSize(id, v)
+func (p *RecordTable) updateSize(pg *page) {
+	pg.size = 0
+	for id, v := range pg.stored {
+		if _, ok := pg.pending[id]; !ok {
+			pg.size += recordSize(id, v)
 		}
 	}
-	for id, w := range sh.pending {
+	for id, w := range pg.pending {
 		if w.value != nil {
-			sh.size += recordSize(id, w.value)
+			pg.size += recordSize(id, w.value)
 		}
 	}
 }
@@ -160,82 +172,82 @@
 	if err != nil {
 		return
 	}
-	sh := p.pageOf[id]
-	if sh == nil {
-		sh = p.pageWithRoom(class, recordSize(id, raw))
-		p.pageOf[id] = sh
+	pg := p.pageOf[id]
+	if pg == nil {
+		pg = p.pageWithRoom(class, recordSize(id, raw))
+		p.pageOf[id] = pg
 	}
-	p.request(sh, id, raw, wait, urgent)
+	p.request(pg, id, raw, wait, urgent)
 }
 
 // Remove wishes a record away, within wait.
 func (p *RecordTable) Remove(id string, wait time.Duration) {
-	if sh := p.pageOf[id]; sh != nil {
-		p.request(sh, id, nil, wait, wait == 0)
+	if pg := p.pageOf[id]; pg != nil {
+		p.request(pg, id, nil, wait, wait == 0)
 	}
 }
 
-func (p *RecordTable) request(sh *page, id string, value msgpack.RawMessage, wait time.Duration, urgent bool) {
-	if old, ok := sh.pending[id]; ok {
-		if bytes.Equal(old.value, value) && (!urgent || sh.urgent) {
+func (p *RecordTable) request(pg *page, id string, value msgpack.RawMessage, wait time.Duration, urgent bool) {
+	if old, ok := pg.pending[id]; ok {
+		if bytes.Equal(old.value, value) && (!urgent || pg.urgent) {
 			return
 		}
 		if old.value != nil {
-			sh.size -= recordSize(id, old.value)
+			pg.size -= recordSize(id, old.value)
 		}
-	} else if old, ok := sh.stored[id]; ok {
+	} else if old, ok := pg.stored[id]; ok {
 		if value != nil && bytes.Equal(old, value) {
 			return
 		}
-		sh.size -= recordSize(id, old)
+		pg.size -= recordSize(id, old)
 	}
 	if value != nil {
-		sh.size += recordSize(id, value)
+		pg.size += recordSize(id, value)
 	}
-	if at := p.store.now + wait; len(sh.pending) == 0 || at < sh.due {
-		sh.due = at
+	if at := p.store.now + wait; len(pg.pending) == 0 || at < pg.due {
+		pg.due = at
 	}
-	sh.urgent = sh.urgent || urgent
-	sh.pending[id] = pendingRecord{value}
+	pg.urgent = pg.urgent || urgent
+	pg.pending[id] = pendingRecord{value}
 }
 
 // pageWithRoom finds a key with room for a new record of a class.
 func (p *RecordTable) pageWithRoom(class string, size int) *page {
 	for n := 0; ; n++ {
-		sh := p.page(p.prefix + url.PathEscape(class) + "/" + strconv.Itoa(n))
-		if sh.size+size <= p.pageBytes || sh.size == 0 {
-			return sh
+		pg := p.page(p.prefix + url.PathEscape(class) + "/" + strconv.Itoa(n))
+		if pg.size+size <= p.pageBytes || pg.size == 0 {
+			return pg
 		}
 	}
 }
 
 // Forget drops the wishes for a class that this node owns no more.
 func (p *RecordTable) Forget(class string) {
-	for _, sh := range p.pages {
-		if sh.class != class {
+	for _, pg := range p.pages {
+		if pg.class != class {
 			continue
 		}
-		for id := range sh.pending {
-			if _, ok := sh.stored[id]; !ok && p.pageOf[id] == sh {
+		for id := range pg.pending {
+			if _, ok := pg.stored[id]; !ok && p.pageOf[id] == pg {
 				delete(p.pageOf, id)
 			}
 		}
-		clear(sh.pending)
-		sh.urgent = false
-		p.updateSize(sh)
+		clear(pg.pending)
+		pg.urgent = false
+		p.updateSize(pg)
 	}
 }
 
 // movedPart is records that move to a key of their own.
 type movedPart struct {
-	sheet *page
-	recs  map[string]msgpack.RawMessage
+	page    *page
+	records map[string]msgpack.RawMessage
 }
 
 // records is what a key holds once its wishes are written.
-func (sh *page) records() map[string]msgpack.RawMessage {
-	recs := maps.Clone(sh.stored)
-	for id, w := range sh.pending {
+func (pg *page) records() map[string]msgpack.RawMessage {
+	recs := maps.Clone(pg.stored)
+	for id, w := range pg.pending {
 		if w.value == nil {
 			delete(recs, id)
 		} else {
@@ -246,7 +258,7 @@
 }
 
 // split finds unused keys for what a key holds beyond its room.
-func (p *RecordTable) split(sh *page, recs map[string]msgpack.RawMessage) (list []movedPart) {
+func (p *RecordTable) split(pg *page, recs map[string]msgpack.RawMessage) (list []movedPart) {
 	size, n := 0, 0
 	var to *movedPart
 	for _, id := range slices.Sorted(maps.Keys(recs)) {
@@ -254,12 +266,12 @@
 		if size+c <= p.pageBytes || size == 0 {
 			size += c
 			if to != nil {
-				to.recs[id] = recs[id]
+				to.records[id] = recs[id]
 			}
 			continue
 		}
 		for ; ; n++ {
-			x := p.page(p.prefix + url.PathEscape(sh.class) + "/" + strconv.Itoa(n))
+			x := p.page(p.prefix + url.PathEscape(pg.class) + "/" + strconv.Itoa(n))
 			if x.version == 0 && len(x.stored) == 0 && len(x.pending) == 0 {
 				n++
 				list = append(list, movedPart{x, map[string]msgpack.RawMessage{id: recs[id]}})
@@ -271,96 +283,120 @@
 	return list
 }
 
+// tableWrite is a transaction in the making: the pages in the order of its changes.
+type tableWrite struct {
+	txn    wire.Txn
+	pages  []*page
+	size   int
+	guards map[string]bool // classes whose owner's guard it carries
+}
+
+// add puts a page's records into the transaction.
+func (w *tableWrite) add(pg *page, records map[string]msgpack.RawMessage) bool {
+	raw, err := wire.Encode(records)
+	if err != nil {
+		return false
+	}
+	w.txn.Guards = append(w.txn.Guards, wire.Guard{Key: pg.key, Version: pg.version})
+	w.txn.Then = append(w.txn.Then, wire.Op{Key: pg.key, Value: msgpack.RawMessage(raw)})
+	w.pages = append(w.pages, pg)
+	return true
+}
+
 // Write sends what is due, several keys in one transaction, and one transaction
 // at a time.
 func (p *RecordTable) Write() {
 	if p.writing || p.store.now < p.pausedUntil {
 		return
 	}
-	var t wire.Txn
-	var sent []*page
-	guards := map[string]bool{}
-	total, urgent := 0, false
-	for _, sh := range p.pages {
-		urgent = urgent || sh.urgent && len(sh.pending) > 0 && p.store.now >= sh.due
+	urgent := false
+	for _, pg := range p.pages {
+		urgent = urgent || pg.urgent && len(pg.pending) > 0 && p.store.now >= pg.due
 	}
+	w := &tableWrite{guards: map[string]bool{}}
 	for _, key := range slices.Sorted(maps.Keys(p.pages)) {
-		sh := p.pages[key]
-		if len(sh.pending) == 0 || p.store.now < sh.due || len(t.Then) >= p.store.MaxWrites() || total+sh.size > limits.PageTxn {
-			continue
-		}
-		// What nobody waits for goes when changes are to spare, and alone. Guards
-		// against jobs whose records, and machines that, waited behind it for minutes.
-		if urgent != sh.urgent || (!urgent && !p.store.CanSpare(len(t.Then)+1)) {
+		pg := p.pages[key]
+		if !p.mayWrite(pg, w, urgent) {
 			continue
 		}
-		g := p.guard(sh.class)
-		if g.Version == 0 {
-			continue // not ours to write
+		if split := p.addPage(w, pg); split {
+			break // it has the transaction for itself and its parts
 		}
-		recs := sh.records()
-		// Guards against a key that was filled under larger limits and would be refused
-		// for ever: what is too much moves to others, in the same transaction.
-		var moved []movedPart
-		if sh.size > p.pageBytes && len(recs) > 1 {
-			if moved = p.split(sh, recs); len(moved) > 0 && len(t.Then)+1+len(moved) > p.store.MaxWrites() && len(t.Then) > 0 {
-				continue // alone, next time
-			}
-			moved = moved[:min(len(moved), max(0, p.store.MaxWrites()-1))]
-			for _, x := range moved {
-				for id := range x.recs {
-					delete(recs, id)
-				}
-			}
-		}
-		raw, err := wire.Encode(recs)
-		if err != nil {
-			continue
-		}
-		if !guards[sh.class] {
-			guards[sh.class] = true
-			t.Guards = append(t.Guards, g)
+	}
+	if len(w.pages) > 0 {
+		p.send(w, urgent)
+	}
+}
+
+// mayWrite tells whether a page is due and fits the transaction. What nobody waits for goes
+// when changes are to spare, and alone. Guards against jobs whose records, and machines that,
+// waited behind it for minutes.
+func (p *RecordTable) mayWrite(pg *page, w *tableWrite, urgent bool) bool {
+	changes := len(w.txn.Then)
+	if len(pg.pending) == 0 || p.store.now < pg.due || changes >= p.store.MaxWrites() || w.size+pg.size > limits.PageTxn {
+		return false
+	}
+	if urgent != pg.urgent || (!urgent && !p.store.CanSpare(changes+1)) {
+		return false
+	}
+	return p.guard(pg.class).Version != 0 // else it is not ours to write
+}
+
+// addPage adds a page to the transaction, and what it holds beyond its room to other keys. It
+// tells whether it was split. Guards against a key that was filled under larger limits and
+// would be refused for ever.
+func (p *RecordTable) addPage(w *tableWrite, pg *page) (split bool) {
+	records := pg.records()
+	var moved []movedPart
+	if pg.size > p.pageBytes && len(records) > 1 {
+		moved = p.split(pg, records)
+		changes := len(w.txn.Then)
+		if len(moved) > 0 && changes > 0 && changes+1+len(moved) > p.store.MaxWrites() {
+			return false // alone, next time
 		}
-		t.Guards = append(t.Guards, wire.Guard{Key: sh.key, Version: sh.version})
-		t.Then = append(t.Then, wire.Op{Key: sh.key, Value: msgpack.RawMessage(raw)})
-		total += sh.size
-		sh.urgent = false
-		sent = append(sent, sh)
-		for _, x := range moved {
-			raw, err := wire.Encode(x.recs)
-			if err != nil {
-				continue
+		moved = moved[:min(len(moved), max(0, p.store.MaxWrites()-1))]
+		for _, part := range moved {
+			for id := range part.records {
+				delete(records, id)
 			}
-			t.Guards = append(t.Guards, wire.Guard{Key: x.sheet.key})
-			t.Then = append(t.Then, wire.Op{Key: x.sheet.key, Value: msgpack.RawMessage(raw)})
-			sent = append(sent, x.sheet)
-		}
-		if len(moved) > 0 {
-			break
 		}
 	}
-	if len(sent) == 0 {
-		return
+	if !w.guards[pg.class] {
+		w.guards[pg.class] = true
+		w.txn.Guards = append(w.txn.Guards, p.guard(pg.class))
 	}
+	if !w.add(pg, records) {
+		return false
+	}
+	w.size += pg.size
+	pg.urgent = false
+	for _, part := range moved {
+		w.add(part.page, part.records)
+	}
+	return len(moved) > 0
+}
+
+// send sends a transaction.
+func (p *RecordTable) send(w *tableWrite, urgent bool) {
 	prio := Progress
 	if urgent {
 		prio = Roster
 	}
 	p.writing = true
-	p.store.Txn(prio, limits.StoreTimeout, t, func(r Reply) {
+	p.store.Txn(prio, limits.StoreTimeout, w.txn, func(r Reply) {
 		p.writing = false
 		var tr wire.TxnReply
 		if r.Status != OK || wire.Decode(r.Body, &tr) != nil {
-			// The mirror tells if it was carried out after all; the wishes stay.
+			// The mirror tells if it was carried out after all; what is pending stays.
 			p.pausedUntil = p.store.now + limits.StoreBackoff
-			for _, sh := range sent {
-				sh.urgent = sh.urgent || urgent
+			for _, pg := range w.pages {
+				pg.urgent = pg.urgent || urgent
 			}
 			return
 		}
 		// Those that were moved to first: a record is never gone in between.
-		for i := len(sent) - 1; i >= 0; i-- {
-			p.store.Mirror.Put(sent[i].key, t.Then[i].Value.(msgpack.RawMessage), tr.Revision)
+		for i := len(w.pages) - 1; i >= 0; i-- {
+			p.store.Mirror.Put(w.pages[i].key, w.txn.Then[i].Value.(msgpack.RawMessage), tr.Revision)
 		}
 	})
 }
