--- a/internal/allocation/allocation.go
+++ b/internal/allocation/allocation.go
@@ -4,35 +4,9 @@
 package allocation
 
 import (
-	"maps"
 	"math"
-	"slices"
-	"sort"
 )
 
-// Resources is an amount of each resource of a machine.
-type Resources struct{ CPUs, GPUs, Memory float64 }
-
-const epsilon = 1e-6
-
-// muchLarger is how many times larger another unit of a class is when a unit had
-// better keep to other classes.
-const muchLarger = 3
-
-// fetchShare of the time within which a task should start is what fetching its
-// image may take; the rest is for slower fetches and the way to the machine.
-const fetchShare = 0.6
-
-// Fits tells whether a is available in b.
-func (a Resources) Fits(b Resources) bool {
-	return a.CPUs <= b.CPUs+epsilon && a.GPUs <= b.GPUs+epsilon && a.Memory <= b.Memory+epsilon
-}
-
-// Add returns a + n*b.
-func (a Resources) Add(b Resources, n float64) Resources {
-	return Resources{a.CPUs + n*b.CPUs, a.GPUs + n*b.GPUs, a.Memory + n*b.Memory}
-}
-
 // Machine is a machine with room.
 type Machine struct {
 	ID          string
@@ -176,6 +150,58 @@
 	Machine *Machine
 }
 
+// teamRun is a team in the course of a run.
+type teamRun struct {
+	*Team
+	next  int // of its units
+	sum   Resources
+	share float64
+}
+
+// nextUnit passes over the units that can't start and returns the next one that may, or nil.
+func (t *teamRun) nextUnit(failed map[string][]Resources) *Unit {
+	for ; t.next < len(t.Units); t.next++ {
+		u := t.Units[t.next]
+		if u.Count > 0 && t.underLimit(t.sum, u.total()) && !u.cannotFit(failed) {
+			return u
+		}
+	}
+	return nil
+}
+
+// book adds what a unit got to the team's amounts.
+func (t *teamRun) book(u *Unit, chosen []*Machine, capacity map[string]Resources) {
+	u.Count -= len(chosen)
+	for _, m := range chosen {
+		m.Busy = true
+		if u.Image != "" && !m.hasImage(u.Image) {
+			if m.fetching == nil {
+				m.fetching = map[string]bool{}
+			}
+			m.fetching[u.Image] = true
+		}
+		t.Booked[m.Class] = t.Booked[m.Class].Add(u.Need, 1)
+		t.sum = t.sum.Add(u.Need, 1)
+	}
+	t.share = Share(t.Booked, capacity)
+}
+
+// neediest chooses the team whose turn it is, and its next unit; nil if none has one.
+func neediest(teams []*teamRun, failed map[string][]Resources) (best *teamRun, unit *Unit) {
+	rank := 0
+	for _, t := range teams {
+		u := t.nextUnit(failed)
+		if u == nil {
+			continue
+		}
+		r := t.rank(t.sum, u)
+		if best == nil || r > rank || (r == rank && t.share < best.share) {
+			best, unit, rank = t, u, r
+		}
+	}
+	return best, unit
+}
+
 // Run fills the machines. largest is the largest unit that unfinished jobs may
 // ask of each class: small units keep out of its way. It changes Free, Busy,
 // Booked, Count and ByZone as it goes.
@@ -184,14 +210,9 @@
 // the plain lowest share could leave them behind for want of capacity. See rank.
 func Run(teams []*Team, machines []*Machine, capacity, largest map[string]Resources) []Placement {
 	var out []Placement
-	type state struct {
-		next  int
-		total Resources
-		share float64
-	}
-	st := make([]state, len(teams))
-	for i, t := range teams {
-		st[i] = state{total: t.total(), share: Share(t.Booked, capacity)}
+	var runs []*teamRun
+	for _, t := range teams {
+		runs = append(runs, &teamRun{Team: t, sum: t.total(), share: Share(t.Booked, capacity)})
 		for _, u := range t.Units {
 			u.lastMachine = nil
 		}
@@ -203,206 +224,25 @@
 	// does a larger unit that may use the same machines.
 	failed := map[string][]Resources{}
 	for {
-		best, bestIn := -1, 0
-		for i, t := range teams {
-			s := &st[i]
-			for s.next < len(t.Units) && (t.Units[s.next].Count <= 0 || !t.underLimit(s.total, t.Units[s.next].total()) || t.Units[s.next].cannotFit(failed)) {
-				s.next++
-			}
-			if s.next >= len(t.Units) {
-				continue
-			}
-			in := t.rank(s.total, t.Units[s.next])
-			if best < 0 || in > bestIn || (in == bestIn && s.share < st[best].share) {
-				best, bestIn = i, in
-			}
-		}
-		if best < 0 {
+		t, u := neediest(runs, failed)
+		if t == nil {
 			return out
 		}
-		t, s := teams[best], &st[best]
-		u := t.Units[s.next]
 		chosen := placeUnit(u, machines, largest)
 		if len(chosen) == 0 {
 			if u.isPlain() {
 				failed[u.Shape] = append(failed[u.Shape], u.Need)
 			}
-			s.next++
+			t.next++
 			continue
 		}
-		u.Count -= len(chosen)
+		t.book(u, chosen, capacity)
 		for _, m := range chosen {
-			m.Busy = true
-			if u.Image != "" && !m.hasImage(u.Image) {
-				if m.fetching == nil {
-					m.fetching = map[string]bool{}
-				}
-				m.fetching[u.Image] = true
-			}
-			t.Booked[m.Class] = t.Booked[m.Class].Add(u.Need, 1)
-			s.total = s.total.Add(u.Need, 1)
 			out = append(out, Placement{t.Name, u, m})
 		}
-		s.share = Share(t.Booked, capacity)
 	}
 }
 
-// placeUnit takes room for one task of a unit, or for all tasks of a gang, and tells where;
-// for a gang that fits nowhere as a whole it takes nothing.
-func placeUnit(u *Unit, machines []*Machine, largest map[string]Resources) []*Machine {
-	take := func() *Machine {
-		m := u.stillBest(largest)
-		if m == nil {
-			m = pickMachine(u, machines, largest)
-		}
-		if m != nil {
-			m.Free = m.Free.Add(u.Need, -1)
-			if u.ByZone != nil {
-				u.ByZone[m.Zone]++
-			}
-		}
-		return m
-	}
-	if !u.Gang {
-		if m := take(); m != nil {
-			return []*Machine{m}
-		}
-		return nil
-	}
-	var chosen []*Machine
-	u.tryZones(machines, func() bool {
-		chosen = nil
-		for u.lastMachine = nil; len(chosen) < u.Count; {
-			m := take()
-			if m == nil {
-				break
-			}
-			chosen = append(chosen, m)
-		}
-		if len(chosen) == u.Count {
-			return true
-		}
-		for _, m := range chosen {
-			m.Free = m.Free.Add(u.Need, 1)
-			if u.ByZone != nil {
-				u.ByZone[m.Zone]--
-			}
-		}
-		chosen = nil
-		return false
-	})
-	u.lastMachine = nil
-	return chosen
-}
-
-// tryZones tries something in one zone after the other for a unit that must be in one, and
-// once for any other, until it succeeds.
-func (u *Unit) tryZones(machines []*Machine, try func() bool) {
-	zone := u.Zone
-	defer func() { u.Zone = zone }()
-	zones := map[string]bool{}
-	for _, m := range machines {
-		zones[m.Zone] = true
-	}
-	if !u.OneZone || zone != "" {
-		zones = map[string]bool{zone: true}
-	}
-	for _, u.Zone = range slices.Sorted(maps.Keys(zones)) {
-		if try() {
-			return
-		}
-	}
-}
-
-// HoldRoom keeps a machine for every overdue unit that fits on none, the one that
-// lacks least for it: its room is freed in small pieces, and small units would
-// take each as it comes. At most that many are held; it tells which.
-func HoldRoom(teams []*Team, machines []*Machine, most int) map[string]bool {
-	held, gang := map[string]bool{}, false
-	for _, t := range teams {
-		total := t.total()
-		for _, u := range t.Units {
-			if !u.Overdue || len(held) >= most || !t.underLimit(total, u.total()) {
-				continue
-			}
-			if u.Gang {
-				if !gang {
-					gang = holdRoomForGang(u, machines, held)
-				}
-				continue
-			}
-			var best *Machine
-			part, fits := 0.0, false
-			for _, m := range machines {
-				if held[m.ID] || !u.Need.Fits(m.Size) || !u.allows(m) {
-					continue
-				}
-				fits = fits || u.Need.Fits(m.Free)
-				if p := u.Need.fractionIn(m.Free); best == nil || p > part {
-					best, part = m, p
-				}
-			}
-			if best != nil && !fits {
-				best.reservedFor, held[best.ID] = u.Job, true
-			}
-		}
-	}
-	return held
-}
-
-// holdRoomForGang keeps the machines for a gang that need to run empty least to take it whole,
-// unless it fits as it is. One gang at a time has room held: two would each keep half of
-// what one needs. It tells whether it did.
-func holdRoomForGang(u *Unit, machines []*Machine, held map[string]bool) bool {
-	var best []*Machine
-	least := math.Inf(1)
-	u.tryZones(machines, func() bool {
-		var list []*Machine
-		fits := 0
-		for _, m := range machines {
-			if !held[m.ID] && u.Need.Fits(m.Size) && u.allows(m) {
-				list = append(list, m)
-				fits += u.Need.CountIn(m.Free)
-			}
-		}
-		if fits >= u.Count {
-			best = nil
-			return true
-		}
-		// The part of a machine that is in use has to end first.
-		sort.SliceStable(list, func(a, b int) bool {
-			return list[a].Size.fractionIn(list[a].Free) > list[b].Size.fractionIn(list[b].Free)
-		})
-		room, used := 0, 0.0
-		for i, m := range list {
-			room += u.Need.CountIn(m.Size)
-			used += 1 - m.Size.fractionIn(m.Free)
-			if room >= u.Count {
-				if used < least {
-					best, least = list[:i+1], used
-				}
-				break
-			}
-		}
-		return false
-	})
-	for _, m := range best {
-		m.reservedFor, held[m.ID] = u.Job, true
-	}
-	return len(best) > 0
-}
-
-// fractionIn tells which part of a is available in b, at the resource that lacks most.
-func (a Resources) fractionIn(b Resources) float64 {
-	p := math.Inf(1)
-	for _, x := range [][2]float64{{a.CPUs, b.CPUs}, {a.GPUs, b.GPUs}, {a.Memory, b.Memory}} {
-		if x[0] > 0 {
-			p = math.Min(p, x[1]/x[0])
-		}
-	}
-	return p
-}
-
 // isPlain tells whether nothing but Shape and Need decides where a unit may go.
 func (u *Unit) isPlain() bool {
 	return u.Shape != "" && !u.Gang && !u.Overdue && !u.OneZone && !u.Spread && len(u.Avoid) == 0
@@ -419,82 +259,3 @@
 	}
 	return false
 }
-
-// hasImage tells whether the image is there, or at least on its way.
-func (m *Machine) hasImage(image string) bool {
-	_, known := m.Images[image]
-	return known || m.fetching[image]
-}
-
-// stillBest tells whether the machine that took the last task of the unit is still
-// the best one: it has less room than before, and if it ranks no lower, nothing
-// that pick would look at has come before it.
-func (u *Unit) stillBest(largest map[string]Resources) *Machine {
-	if m := u.lastMachine; m != nil && u.Need.Fits(m.Free) && u.allows(m) && u.rankMachine(m, largest) >= u.lastRank {
-		return m
-	}
-	return nil
-}
-
-// pickMachine chooses the machine for a unit among those with room: the one of the
-// highest rank, and among equals the one with the least room left, so that
-// others run empty and can be returned; and then first-fit.
-func pickMachine(u *Unit, machines []*Machine, largest map[string]Resources) *Machine {
-	var best *Machine
-	rank := -1
-	for _, m := range machines {
-		if !u.Need.Fits(m.Free) || !u.allows(m) {
-			continue
-		}
-		if r := u.rankMachine(m, largest); r > rank || (r == rank && m.Free.CPUs < best.Free.CPUs-epsilon) {
-			best, rank = m, r
-		}
-	}
-	u.lastMachine, u.lastRank = best, rank
-	return best
-}
-
-// rankMachine ranks a machine by what counts most: that a unit that should start soon
-// need not wait for its image; that a unit that should be safe is on an ordinary
-// machine; that the class is not one that much larger units need;
-// that the largest unit of the class loses no room, for small units spread over
-// large machines lock it out; that the image is there,
-// since a fetch takes room for as long as a short task runs; that the machine is
-// busy.
-func (u *Unit) rankMachine(m *Machine, largest map[string]Resources) int {
-	r := 0
-	if u.StartWithin > 0 && (u.Image == "" || m.Images[u.Image] || u.ImageGB <= fetchShare*u.StartWithin*m.FetchGBps) {
-		r += 32
-	}
-	big := largest[m.Class]
-	if u.Safe && !m.Spot {
-		r += 16
-	}
-	if big.CPUs < muchLarger*u.Need.CPUs {
-		r += 8
-	}
-	if big == u.Need || big.CountIn(m.Free) == big.CountIn(m.Free.Add(u.Need, -1)) {
-		r += 4
-	}
-	if u.Image == "" || m.hasImage(u.Image) {
-		r += 2
-	}
-	if m.Busy {
-		r++
-	}
-	return r
-}
-
-// CountIn tells how often a is available in b.
-func (a Resources) CountIn(b Resources) int {
-	n := math.Inf(1)
-	part := func(x, y float64) {
-		if x > 0 {
-			n = math.Min(n, math.Floor((y+epsilon)/x))
-		}
-	}
-	part(a.CPUs, b.CPUs)
-	part(a.GPUs, b.GPUs)
-	part(a.Memory, b.Memory)
-	return int(math.Min(n, 1<<20))
-}
--- a/internal/allocation/preemption.go
+++ b/internal/allocation/preemption.go
@@ -26,89 +26,120 @@
 
 // Preempt finds what teams must return. A unit within its team's guarantee that
 // fits nowhere gets room from teams that run beyond theirs (deployment page:
-// what is borrowed must be returned), and an urgent unit from low loans. pending
+// what is borrowed must be returned), and an urgent unit from low tasks. pending
 // counts the tasks of each job that room is on its way for, and at most most
-// claims are made, or those of one gang. A gang gets room for all its tasks, on several machines, or none;
-// some of these may have no loans and are only to be kept for it. It belongs after Run,
-// which has placed what fits.
-func Preempt(teams []*Team, machines []*Machine, loans []Preemptible, pending map[string]int, most int) []Preemption {
-	byMachine := map[*Machine][]Preemptible{}
-	for _, l := range loans {
-		byMachine[l.Machine] = append(byMachine[l.Machine], l)
+// machines are named, or those of one gang. A gang gets room for all its tasks, on several
+// machines, or none; some of these may have no victims and are only to be kept for it. It
+// belongs after Run, which has placed what fits.
+func Preempt(teams []*Team, machines []*Machine, candidates []Preemptible, pending map[string]int, most int) []Preemption {
+	p := newPreemptor(teams, machines, candidates, pending, most)
+	for _, t := range teams {
+		total := t.total()
+		for _, u := range t.Units {
+			if u.Gang {
+				total = p.preemptForGang(t, u, total)
+			} else {
+				total = p.preemptForTasks(t, u, total)
+			}
+		}
+	}
+	return p.out
+}
+
+// preemptor is the state of one call of Preempt.
+type preemptor struct {
+	machines   []*Machine
+	candidates map[*Machine][]Preemptible // largest first; without machines that are taken
+	totals     map[string]Resources       // what each team runs, without the victims
+	guarantees map[string]Resources
+	pending    map[string]int
+	most       int
+	out        []Preemption
+}
+
+func newPreemptor(teams []*Team, machines []*Machine, candidates []Preemptible, pending map[string]int, most int) *preemptor {
+	p := &preemptor{machines: machines, candidates: map[*Machine][]Preemptible{}, totals: map[string]Resources{},
+		guarantees: map[string]Resources{}, pending: pending, most: most}
+	for _, c := range candidates {
+		p.candidates[c.Machine] = append(p.candidates[c.Machine], c)
 	}
-	for _, list := range byMachine {
+	for _, list := range p.candidates {
 		sort.SliceStable(list, func(a, b int) bool { return list[a].Need.CPUs > list[b].Need.CPUs })
 	}
-	totals, guarantees := map[string]Resources{}, map[string]Resources{}
 	for _, t := range teams {
-		totals[t.Name], guarantees[t.Name] = t.total(), t.Guarantee
+		p.totals[t.Name], p.guarantees[t.Name] = t.total(), t.Guarantee
 	}
-	// beyond tells whether a team still runs beyond its guarantee without some of
-	// its tasks.
-	beyond := func(team string, without Resources) bool {
-		g, b := guarantees[team], totals[team].Add(without, -1)
-		return b.CPUs > g.CPUs+epsilon || b.GPUs > g.GPUs+epsilon
+	return p
+}
+
+// mayPreempt tells whether a task may be taken after others of its team.
+type mayPreempt func(task Preemptible, taken Resources) bool
+
+// allowed tells what a team may take: of others that run beyond their guarantee, and only low
+// tasks unless it is within its own.
+func (p *preemptor) allowed(team string, within bool) mayPreempt {
+	return func(task Preemptible, taken Resources) bool {
+		guarantee, left := p.guarantees[task.Team], p.totals[task.Team].Add(taken, -1)
+		beyond := left.CPUs > guarantee.CPUs+epsilon || left.GPUs > guarantee.GPUs+epsilon
+		return task.Team != team && beyond && (within || task.Low)
 	}
-	var out []Preemption
-	for _, t := range teams {
-		total := t.total()
-		for _, u := range t.Units {
-			if u.Gang {
-				in := t.guaranteed(total, u.total())
-				if !(in || u.Urgent) || u.Count <= 0 || !t.underLimit(total, u.total()) {
-					continue
-				}
-				total = total.Add(u.total(), 1)
-				if pending[u.Job] > 0 {
-					continue
-				}
-				claims := chooseGangPreemption(u, machines, byMachine, func(l Preemptible, taken Resources) bool {
-					return l.Team != t.Name && beyond(l.Team, taken) && (in || l.Low)
-				})
-				if len(out) > 0 && len(out)+len(claims) > most {
-					continue // one gang at least, however many machines it needs
-				}
-				for _, c := range claims {
-					c.Machine.Reserve(u.Job) // nobody else's claim counts on its room
-					delete(byMachine, c.Machine)
-					for _, l := range c.Victims {
-						totals[l.Team] = totals[l.Team].Add(l.Need, -1)
-					}
-				}
-				out = append(out, claims...)
-				continue
-			}
-			n := u.Count
-			for i := 0; i < n && len(out) < most; i++ {
-				in := t.guaranteed(total, u.Need)
-				if !(in || u.Urgent) || !t.underLimit(total, u.Need) {
-					break
-				}
-				total = total.Add(u.Need, 1)
-				if pending[u.Job] > 0 {
-					pending[u.Job]--
-					continue
-				}
-				c, ok := choosePreemption(u, machines, byMachine, func(l Preemptible, taken Resources) bool {
-					return l.Team != t.Name && beyond(l.Team, taken) && (in || l.Low)
-				})
-				if !ok {
-					break
-				}
-				for _, l := range c.Victims {
-					totals[l.Team] = totals[l.Team].Add(l.Need, -1)
-				}
-				delete(byMachine, c.Machine) // one claim a machine at a time
-				out = append(out, c)
-			}
+}
+
+// take names a machine's victims.
+func (p *preemptor) take(x Preemption) {
+	for _, victim := range x.Victims {
+		p.totals[victim.Team] = p.totals[victim.Team].Add(victim.Need, -1)
+	}
+	delete(p.candidates, x.Machine) // one at a time on a machine
+	p.out = append(p.out, x)
+}
+
+// preemptForTasks makes room for as many tasks of a unit as may be, each on its own, and
+// returns what the team then runs.
+func (p *preemptor) preemptForTasks(t *Team, u *Unit, total Resources) Resources {
+	for n := u.Count; n > 0 && len(p.out) < p.most; n-- {
+		within := t.guaranteed(total, u.Need)
+		if !(within || u.Urgent) || !t.underLimit(total, u.Need) {
+			break
+		}
+		total = total.Add(u.Need, 1)
+		if p.pending[u.Job] > 0 {
+			p.pending[u.Job]--
+			continue
+		}
+		x, ok := choosePreemption(u, p.machines, p.candidates, p.allowed(t.Name, within))
+		if !ok {
+			break
 		}
+		p.take(x)
+	}
+	return total
+}
+
+// preemptForGang makes room for a whole gang, and returns what the team then runs.
+func (p *preemptor) preemptForGang(t *Team, u *Unit, total Resources) Resources {
+	within := t.guaranteed(total, u.total())
+	if !(within || u.Urgent) || u.Count <= 0 || !t.underLimit(total, u.total()) {
+		return total
+	}
+	total = total.Add(u.total(), 1)
+	if p.pending[u.Job] > 0 {
+		return total
+	}
+	list := chooseGangPreemption(u, p.machines, p.candidates, p.allowed(t.Name, within))
+	if len(p.out) > 0 && len(p.out)+len(list) > p.most {
+		return total // one gang at least, however many machines it needs
+	}
+	for _, x := range list {
+		x.Machine.Reserve(u.Job) // nobody else's preemption counts on its room
+		p.take(x)
 	}
-	return out
+	return total
 }
 
 // choosePreemption chooses the machine on which the fewest loans have to end for a unit. may
 // tells whether a loan may be taken after others of its team.
-func choosePreemption(u *Unit, machines []*Machine, loans map[*Machine][]Preemptible, may func(l Preemptible, taken Resources) bool) (Preemption, bool) {
+func choosePreemption(u *Unit, machines []*Machine, loans map[*Machine][]Preemptible, may mayPreempt) (Preemption, bool) {
 	best, least := Preemption{}, math.Inf(1)
 	for _, m := range machines {
 		if len(loans[m]) == 0 || !u.Need.Fits(m.Size) || !u.allows(m) {
@@ -146,7 +177,7 @@
 
 // next finds the least that has to be taken in addition for one task more to fit. taken is
 // what is taken already, by team.
-func (r *gangCandidate) next(need Resources, taken map[string]Resources, may func(l Preemptible, taken Resources) bool) (loans []Preemptible, cost float64, ok bool) {
+func (r *gangCandidate) next(need Resources, taken map[string]Resources, may mayPreempt) (loans []Preemptible, cost float64, ok bool) {
 	free, here := r.free, map[string]Resources{}
 	for _, l := range r.remaining {
 		if !may(l, taken[l.Team].Add(here[l.Team], 1)) {
@@ -174,7 +205,7 @@
 
 // chooseGangPreemption chooses the machines on which the least has to end for a whole gang, in one
 // zone if it must be in one. may tells whether a loan may be taken after others of its team.
-func chooseGangPreemption(u *Unit, machines []*Machine, loans map[*Machine][]Preemptible, may func(l Preemptible, taken Resources) bool) []Preemption {
+func chooseGangPreemption(u *Unit, machines []*Machine, loans map[*Machine][]Preemptible, may mayPreempt) []Preemption {
 	var best []Preemption
 	least := math.Inf(1)
 	u.tryZones(machines, func() bool {
@@ -186,45 +217,52 @@
 	return best
 }
 
-// gangPreemptionInZone is claimGang for the zones that the unit allows at the moment.
-func gangPreemptionInZone(u *Unit, machines []*Machine, loans map[*Machine][]Preemptible, may func(l Preemptible, taken Resources) bool) ([]Preemption, float64) {
+// gangPreemptionInZone is chooseGangPreemption for the zones that the unit allows at the moment.
+func gangPreemptionInZone(u *Unit, machines []*Machine, candidates map[*Machine][]Preemptible, may mayPreempt) ([]Preemption, float64) {
 	var rooms []*gangCandidate
+	fits := 0
 	for _, m := range machines {
 		if u.Need.Fits(m.Size) && u.allows(m) {
-			rooms = append(rooms, &gangCandidate{machine: m, free: m.Free, remaining: loans[m], fits: u.Need.CountIn(m.Free)})
+			r := &gangCandidate{machine: m, free: m.Free, remaining: candidates[m], fits: u.Need.CountIn(m.Free)}
+			fits += r.fits
+			rooms = append(rooms, r)
 		}
 	}
-	fits := func() int {
-		n := 0
-		for _, r := range rooms {
-			n += r.fits
-		}
-		return n
-	}
-	if u.Spread || fits() >= u.Count {
+	if u.Spread || fits >= u.Count {
 		return nil, 0 // by zones, or placed by the next run
 	}
 	taken, total := map[string]Resources{}, 0.0
-	for fits() < u.Count {
-		var chosen *gangCandidate
-		var take []Preemptible
-		cost := math.Inf(1)
-		for _, r := range rooms {
-			list, c, ok := r.next(u.Need, taken, may)
-			if ok && c < cost-epsilon {
-				chosen, take, cost = r, list, c
-			}
-		}
-		if chosen == nil {
+	for fits < u.Count {
+		r, victims, cost := cheapestCandidate(rooms, u.Need, taken, may)
+		if r == nil {
 			return nil, 0
 		}
-		chosen.preempt(u.Need, take)
+		fits -= r.fits
+		r.preempt(u.Need, victims)
+		fits += r.fits
 		total += cost
-		for _, l := range take {
-			taken[l.Team] = taken[l.Team].Add(l.Need, 1)
+		for _, victim := range victims {
+			taken[victim.Team] = taken[victim.Team].Add(victim.Need, 1)
 		}
 	}
-	// Machines whose tasks end first, then those with most room: fewest are kept.
+	return fewestMachines(u, rooms), total
+}
+
+// cheapestCandidate finds the machine on which least has to end for one task more to fit.
+func cheapestCandidate(rooms []*gangCandidate, need Resources, taken map[string]Resources, may mayPreempt) (best *gangCandidate, victims []Preemptible, cost float64) {
+	cost = math.Inf(1)
+	for _, r := range rooms {
+		list, c, ok := r.next(need, taken, may)
+		if ok && c < cost-epsilon {
+			best, victims, cost = r, list, c
+		}
+	}
+	return best, victims, cost
+}
+
+// fewestMachines keeps the machines whose tasks end, and then those with most room, until the
+// whole gang fits.
+func fewestMachines(u *Unit, rooms []*gangCandidate) []Preemption {
 	sort.SliceStable(rooms, func(a, b int) bool {
 		x, y := rooms[a], rooms[b]
 		if (len(x.victims) > 0) != (len(y.victims) > 0) {
@@ -232,11 +270,11 @@
 		}
 		return x.fits > y.fits
 	})
-	var claims []Preemption
+	var list []Preemption
 	for n := 0; n < u.Count; {
-		r := rooms[len(claims)]
-		claims = append(claims, Preemption{u, r.machine, r.victims})
+		r := rooms[len(list)]
+		list = append(list, Preemption{u, r.machine, r.victims})
 		n += r.fits
 	}
-	return claims, total
+	return list
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -134,7 +134,18 @@
 	return s, s.check()
 }
 
+// check tells what is wrong first; its errors are of the type FieldError.
 func (s *Settings) check() error {
+	for _, check := range []func() error{s.checkNode, s.Cluster.checkTeams, s.Cluster.checkAmounts, s.Cluster.checkState} {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkNode checks the names and addresses of this controller and the others.
+func (s *Settings) checkNode() error {
 	if s.Label == "" {
 		return &FieldError{"label", "missing"}
 	}
@@ -148,58 +159,56 @@
 	}
 	seen := map[string]bool{s.Label: true}
 	for i, p := range s.Others {
-		f := fmt.Sprintf("others[%d].", i)
+		field := fmt.Sprintf("others[%d].", i)
 		if p.Label == "" || seen[p.Label] {
-			return &FieldError{f + "label", "missing or used twice"}
+			return &FieldError{field + "label", "missing or used twice"}
 		}
 		seen[p.Label] = true
-		if err := checkAddr(f+"addr", p.Addr); err != nil {
+		if err := checkAddr(field+"addr", p.Addr); err != nil {
 			return err
 		}
 	}
-	c := &s.Cluster
+	return nil
+}
+
+// checkTeams checks the teams' names and bounds.
+func (c *Cluster) checkTeams() error {
 	if len(c.Teams) == 0 {
 		return &FieldError{"cluster.teams", "missing"}
 	}
 	names := map[string]bool{}
 	for i, t := range c.Teams {
-		f := fmt.Sprintf("cluster.teams[%d].", i)
+		field := fmt.Sprintf("cluster.teams[%d].", i)
 		if t.Name == "" || names[t.Name] {
-			return &FieldError{f + "name", "missing or used twice"}
+			return &FieldError{field + "name", "missing or used twice"}
 		}
 		names[t.Name] = true
-		for _, v := range []struct {
-			n string
-			v float64
-		}{{"cpus", t.CPUs}, {"cpus_max", t.CPUsMax}, {"gpus", t.GPUs}, {"gpus_max", t.GPUsMax}} {
-			if v.v < 0 || math.IsNaN(v.v) {
-				return &FieldError{f + v.n, "must not be negative"}
+		for _, a := range []amount{{"cpus", t.CPUs}, {"cpus_max", t.CPUsMax}, {"gpus", t.GPUs}, {"gpus_max", t.GPUsMax}} {
+			if a.value < 0 || math.IsNaN(a.value) {
+				return &FieldError{field + a.field, "must not be negative"}
 			}
 		}
 	}
-	for _, v := range []struct {
-		n string
-		v float64
-	}{
+	return nil
+}
+
+// amount is a number and the setting that gives it.
+type amount struct {
+	field string
+	value float64
+}
+
+// checkAmounts checks the amounts that must be above 0.
+func (c *Cluster) checkAmounts() error {
+	for _, a := range []amount{
 		{"cluster.workers.report_s", c.Workers.ReportS}, {"cluster.workers.lease_s", c.Workers.LeaseS},
 		{"cluster.workers.cancel_s", c.Workers.CancelS}, {"cluster.state.rps", c.State.RPS},
 		{"cluster.state.write_rps", c.State.WriteRPS}, {"cluster.state.value_kb", c.State.ValueKB},
 		{"cluster.cloud.rps", c.Cloud.RPS}, {"cluster.resources.ram_mb", c.Resources.RAMMB},
 		{"cluster.resources.max_sockets", float64(c.Resources.MaxSockets)},
 	} {
-		if !(v.v > 0) {
-			return &FieldError{v.n, "must be above 0"}
-		}
-	}
-	if c.State.TxnOps < 4 {
-		return &FieldError{"cluster.state.txn_ops", "must be at least 4"}
-	}
-	if n := c.State.Next; n != nil {
-		if n.TxnOps != 0 && n.TxnOps < 4 {
-			return &FieldError{"cluster.state.next.txn_ops", "must be at least 4"}
-		}
-		if !(n.ValueKB >= 0) || !(n.WriteRPS >= 0) || n.ValueKB > 0 && n.ValueKB < 1 {
-			return &FieldError{"cluster.state.next", "want value_kb of at least 1 and write_rps above 0"}
+		if !(a.value > 0) {
+			return &FieldError{a.field, "must be above 0"}
 		}
 	}
 	if c.Workers.GangWaitS < 0 || c.Workers.GangPeerS < 0 {
@@ -208,6 +217,27 @@
 	return nil
 }
 
+// leastTxnOps is the smallest transaction that the service can work with.
+const leastTxnOps = 4
+
+// checkState checks the limits of the state service, present and announced.
+func (c *Cluster) checkState() error {
+	if c.State.TxnOps < leastTxnOps {
+		return &FieldError{"cluster.state.txn_ops", fmt.Sprintf("must be at least %d", leastTxnOps)}
+	}
+	next := c.State.Next
+	if next == nil {
+		return nil
+	}
+	if next.TxnOps != 0 && next.TxnOps < leastTxnOps {
+		return &FieldError{"cluster.state.next.txn_ops", fmt.Sprintf("must be at least %d", leastTxnOps)}
+	}
+	if !(next.ValueKB >= 0) || !(next.WriteRPS >= 0) || next.ValueKB > 0 && next.ValueKB < 1 {
+		return &FieldError{"cluster.state.next", "want value_kb of at least 1 and write_rps above 0"}
+	}
+	return nil
+}
+
 func checkAddr(field, addr string) error {
 	host, port, err := net.SplitHostPort(addr)
 	if err != nil {
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -235,50 +235,64 @@
 // taskEnded takes in the end of an attempt. The outcome must be durable before the
 // worker may forget it; only a completion has an outcome that matters.
 func (c *Core) taskEnded(m *workers.Machine, j *jobs.Job, id string, task int, t wire.TaskReport, cmds []wire.Command, may bool) []wire.Command {
-	clearing := wire.Command{Verb: wire.VerbClear, Task: id, Attempt: t.Attempt}
 	may = may && c.mayClear(m, j, t)
 	if !may {
 		m.EndedTasks[id] = true
 	}
-	if j == nil {
-		if c.store.Mirror.Loaded && may {
-			return append(cmds, clearing)
-		}
-		return cmds
+	forget := false
+	switch {
+	case j == nil:
+		forget = c.store.Mirror.Loaded
+	case t.Cause == wire.CauseDone:
+		c.taskDone(m, j, task, t)
+		forget = j.IsDurable(task) || j.Cancelled
+	default:
+		c.taskNotDone(m, j, task, t)
+		forget = true
+	}
+	if forget && may {
+		cmds = append(cmds, wire.Command{Verb: wire.VerbClear, Task: id, Attempt: t.Attempt})
 	}
-	p, ok := j.Assigned[task]
-	here := ok && p.Machine == m.ID && p.Attempt == t.Attempt
-	if j.Gang && (here || t.Cause == wire.CauseDone) {
+	return cmds
+}
+
+// assignedHere tells whether a reported attempt is the one that a task has.
+func assignedHere(m *workers.Machine, j *jobs.Job, task int, t wire.TaskReport) bool {
+	a, ok := j.Assigned[task]
+	return ok && a.Machine == m.ID && a.Attempt == t.Attempt
+}
+
+// taskDone takes in a completed task, whatever attempt of it that was.
+func (c *Core) taskDone(m *workers.Machine, j *jobs.Job, task int, t wire.TaskReport) {
+	if j.Gang {
 		c.gangEnded(j, t)
 	}
-	if p, ok := j.Assigned[task]; ok && here && p.Machine == m.ID && p.Attempt == t.Attempt {
+	if a, ok := j.Assigned[task]; ok && (assignedHere(m, j, task, t) || a.State == jobs.Planned) {
 		c.unassign(j, task)
 	}
-	if t.Cause == wire.CauseDone {
-		if ok && !here && p.State == jobs.Planned {
-			c.unassign(j, task)
-		}
-		if !j.Done.Has(task) {
-			m.Failures = map[string]int{}
-			j.Succeeded = true
-			j.Backoff = 0
-			j.MarkDone(task)
-		}
-		if (j.IsDurable(task) || j.Cancelled) && may {
-			return append(cmds, clearing)
-		}
-		return cmds
+	if !j.Done.Has(task) {
+		m.Failures = map[string]int{}
+		j.Succeeded = true
+		j.Backoff = 0
+		j.MarkDone(task)
 	}
-	if here {
-		c.log("debug", "attempt ended", "task", id, "machine", m.ID, "cause", t.Cause, "attempt", t.Attempt)
-		if t.Cause == wire.CauseError {
-			c.taskFailed(m, j)
-		}
+}
+
+// taskNotDone takes in an attempt that ended otherwise.
+func (c *Core) taskNotDone(m *workers.Machine, j *jobs.Job, task int, t wire.TaskReport) {
+	if !assignedHere(m, j, task, t) {
+		return
 	}
-	if may {
-		cmds = append(cmds, clearing)
+	if j.Gang {
+		c.gangEnded(j, t)
+	}
+	if assignedHere(m, j, task, t) {
+		c.unassign(j, task)
+	}
+	c.log("debug", "attempt ended", "task", t.Task, "machine", m.ID, "cause", t.Cause, "attempt", t.Attempt)
+	if t.Cause == wire.CauseError {
+		c.taskFailed(m, j)
 	}
-	return cmds
 }
 
 // taskFailed judges who is to blame for a failed task: the machine, if tasks of
--- a/internal/controller/preemption.go
+++ b/internal/controller/preemption.go
@@ -57,58 +57,70 @@
 }
 
 // preemptBorrowed asks for the room that teams have to return, after a run.
-func (c *Core) preemptBorrowed(o *schedulingRound, machines []*allocation.Machine, pending map[string]int) {
+func (c *Core) preemptBorrowed(round *schedulingRound, machines []*allocation.Machine, pending map[string]int) {
 	t := c.now.Steady
 	if t < c.nextPreemption {
 		return
 	}
 	c.nextPreemption = t + limits.PreemptInterval
-	waits := false
-	for _, at := range o.teams {
-		for _, u := range at.Units {
+	if !c.anyMayPreempt(round, pending) {
+		return
+	}
+	candidates, tasks := c.preemptibleTasks(machines)
+	most := 1 + int(limits.PreemptShare*float64(len(machines)))
+	for _, p := range allocation.Preempt(round.teams, machines, candidates, pending, most) {
+		attempts := map[string]uint64{}
+		save := 0.0
+		for _, victim := range p.Victims {
+			ref := tasks[victim.ID]
+			attempts[jobs.TaskID(ref.job.ID, ref.task)] = ref.job.Assigned[ref.task].Attempt
+			save = max(save, ref.job.SaveS)
+		}
+		c.preemptions[p.Machine.ID] = &preemption{job: p.Unit.Job, tasks: attempts,
+			until: t + 2*c.pool.Report + limits.Seconds(save) + limits.PreemptSlack}
+		c.log("debug", "room claimed", "job", p.Unit.Job, "machine", p.Machine.ID, "tasks", len(attempts))
+	}
+}
+
+// anyMayPreempt tells whether a waiting unit may have a right to room that others use. Faulty
+// jobs get nothing that others must leave: all their tasks count as pending.
+func (c *Core) anyMayPreempt(round *schedulingRound, pending map[string]int) bool {
+	any := false
+	for _, team := range round.teams {
+		for _, u := range team.Units {
 			if j := c.jobs.Open[u.Job]; j == nil || j.Faulty() {
-				pending[u.Job] = u.Count // gets nothing that others must leave
+				pending[u.Job] = u.Count
 				continue
 			}
-			waits = waits || u.Urgent || at.Guarantee != (allocation.Resources{})
+			any = any || u.Urgent || team.Guarantee != (allocation.Resources{})
 		}
 	}
-	if !waits {
-		return
-	}
+	return any
+}
+
+// preemptibleTasks lists the running tasks that lose nothing when they are stopped but the
+// way back, and the tasks by the candidates' numbers.
+func (c *Core) preemptibleTasks(machines []*allocation.Machine) (candidates []allocation.Preemptible, tasks []taskRef) {
 	at := make(map[string]*allocation.Machine, len(machines))
 	for _, m := range machines {
 		at[m.ID] = m
 	}
-	var loans []allocation.Preemptible
-	var lent []taskRef
 	for _, j := range c.sortedJobs() {
-		// Only what saves its progress: nothing is lost but the way back.
 		if j.CheckS <= 0 || j.Gang || j.Cancelled || c.jobs.Open[j.ID] != j {
 			continue
 		}
 		for _, task := range j.AssignedTasks() {
-			p := j.Assigned[task]
-			m := at[p.Machine]
-			if p.State != jobs.Running || t-p.RunningSince < limits.PreemptMinRun || m == nil || c.preemptions[p.Machine] != nil {
+			a := j.Assigned[task]
+			m := at[a.Machine]
+			short := c.now.Steady-a.RunningSince < limits.PreemptMinRun
+			if a.State != jobs.Running || short || m == nil || c.preemptions[a.Machine] != nil {
 				continue
 			}
-			loans = append(loans, allocation.Preemptible{ID: len(lent), Team: j.Team, Machine: m, Need: need(j), Low: j.Urgency == wire.UrgencyLow})
-			lent = append(lent, taskRef{j, task})
+			candidates = append(candidates, allocation.Preemptible{ID: len(tasks), Team: j.Team, Machine: m, Need: need(j), Low: j.Urgency == wire.UrgencyLow})
+			tasks = append(tasks, taskRef{j, task})
 		}
 	}
-	for _, k := range allocation.Preempt(o.teams, machines, loans, pending, 1+int(limits.PreemptShare*float64(len(machines)))) {
-		tasks := map[string]uint64{}
-		save := 0.0
-		for _, l := range k.Victims {
-			p := lent[l.ID]
-			tasks[jobs.TaskID(p.job.ID, p.task)] = p.job.Assigned[p.task].Attempt
-			save = max(save, p.job.SaveS)
-		}
-		c.preemptions[k.Machine.ID] = &preemption{job: k.Unit.Job, tasks: tasks,
-			until: t + 2*c.pool.Report + limits.Seconds(save) + limits.PreemptSlack}
-		c.log("debug", "room claimed", "job", k.Unit.Job, "machine", k.Machine.ID, "tasks", len(tasks))
-	}
+	return candidates, tasks
 }
 
 // mustPreempt tells whether a task is to end so that a job which has a right to
--- a/internal/wire/check.go
+++ b/internal/wire/check.go
@@ -24,73 +24,68 @@
 	return nil
 }
 
+// format is what the first byte of a value says of the rest.
+type format struct {
+	lengthBytes int    // how many bytes of length follow
+	length      uint64 // the length, if none follow
+	items       uint64 // values for each unit of length; 0: the length is in bytes
+	valid       bool
+}
+
+// formatOf reads the first byte of a value.
+func formatOf(first byte) format {
+	switch {
+	case first <= 0x7f || first >= 0xe0 || first == 0xc0 || first == 0xc2 || first == 0xc3:
+		return format{valid: true} // small numbers, null, booleans
+	case first <= 0x8f:
+		return format{length: uint64(first & 0x0f), items: 2, valid: true} // small maps
+	case first <= 0x9f:
+		return format{length: uint64(first & 0x0f), items: 1, valid: true} // small lists
+	case first <= 0xbf:
+		return format{length: uint64(first & 0x1f), valid: true} // short texts
+	case first >= 0xc4 && first <= 0xc6: // binary
+		return format{lengthBytes: 1 << (first - 0xc4), valid: true}
+	case first >= 0xd9 && first <= 0xdb: // texts
+		return format{lengthBytes: 1 << (first - 0xd9), valid: true}
+	case first == 0xca || first == 0xcb: // decimal numbers of 4 and 8 bytes
+		return format{length: 4 << (first - 0xca), valid: true}
+	case first >= 0xcc && first <= 0xcf: // whole numbers of 1 to 8 bytes
+		return format{length: 1 << (first - 0xcc), valid: true}
+	case first >= 0xd0 && first <= 0xd3: // signed ones
+		return format{length: 1 << (first - 0xd0), valid: true}
+	case first == 0xdc || first == 0xdd: // lists
+		return format{lengthBytes: 2 << (first - 0xdc), items: 1, valid: true}
+	case first == 0xde || first == 0xdf: // maps
+		return format{lengthBytes: 2 << (first - 0xde), items: 2, valid: true}
+	}
+	return format{} // extensions are not in the protocol
+}
+
+// skip passes over one value.
 func skip(b []byte, depth int) ([]byte, error) {
 	if len(b) == 0 || depth > limits.MaxDepth {
 		return nil, errMalformed
 	}
-	c := b[0]
+	f := formatOf(b[0])
 	b = b[1:]
-	// size reads a length of n bytes.
-	size := func(n int) (uint64, error) {
-		if len(b) < n {
-			return 0, errMalformed
-		}
-		var buf [8]byte
-		copy(buf[8-n:], b[:n])
-		b = b[n:]
-		return binary.BigEndian.Uint64(buf[:]), nil
-	}
-	take := func(n uint64) ([]byte, error) {
-		if n > uint64(len(b)) {
-			return nil, errMalformed
-		}
-		return b[n:], nil
-	}
-	var items uint64
-	var err error
-	switch {
-	case c <= 0x7f || c >= 0xe0 || c == 0xc0 || c == 0xc2 || c == 0xc3:
-		return b, nil
-	case c <= 0x8f:
-		items = 2 * uint64(c&0x0f)
-	case c <= 0x9f:
-		items = uint64(c & 0x0f)
-	case c <= 0xbf:
-		return take(uint64(c & 0x1f))
-	case c >= 0xc4 && c <= 0xc6, c >= 0xd9 && c <= 0xdb: // binary, text
-		n, err := size(1 << ((c - 0xc4) % 21))
-		if err != nil {
-			return nil, err
-		}
-		return take(n)
-	case c == 0xca || c == 0xce || c == 0xd2:
-		return take(4)
-	case c == 0xcb || c == 0xcf || c == 0xd3:
-		return take(8)
-	case c == 0xcc || c == 0xd0:
-		return take(1)
-	case c == 0xcd || c == 0xd1:
-		return take(2)
-	case c == 0xdc:
-		items, err = size(2)
-	case c == 0xdd:
-		items, err = size(4)
-	case c == 0xde:
-		items, err = size(2)
-		items *= 2
-	case c == 0xdf:
-		items, err = size(4)
-		items *= 2
-	default: // extensions are not in the protocol
+	if !f.valid || len(b) < f.lengthBytes {
 		return nil, errMalformed
 	}
-	if err != nil {
-		return nil, err
+	if f.lengthBytes > 0 {
+		var length [8]byte
+		copy(length[8-f.lengthBytes:], b[:f.lengthBytes])
+		f.length = binary.BigEndian.Uint64(length[:])
+		b = b[f.lengthBytes:]
 	}
-	if items > uint64(len(b)) {
+	// Every value takes a byte at least.
+	if f.length > uint64(len(b)) || f.items*f.length > uint64(len(b)) {
 		return nil, errMalformed
 	}
-	for ; items > 0; items-- {
+	if f.items == 0 {
+		return b[f.length:], nil
+	}
+	var err error
+	for range f.items * f.length {
 		if b, err = skip(b, depth+1); err != nil {
 			return nil, err
 		}
