--- /dev/null
+++ b/internal/controller/reports.go
@@ -0,0 +1,356 @@
+package controller
+
+import (
+	"log/slog"
+	"slices"
+
+	"umberpaddle/internal/fleet"
+	"umberpaddle/internal/jobs"
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/wire"
+	"umberpaddle/internal/workers"
+)
+
+// checkin answers a worker's report.
+func (c *Core) checkin(x Checkin) {
+	r := x.Report
+	reply := func(status int, body any) { c.out = append(c.out, Answer{Ref: x.Ref, Status: status, Body: body}) }
+	term, ours := c.active[r.Type]
+	if !ours {
+		c.lastForeignArrival = c.now.Steady
+		if o := c.ownership.Owner(r.Type); o != "" && o != c.settings.Label {
+			reply(421, wire.Redirect{Owner: o})
+		} else {
+			reply(503, nil)
+		}
+		return
+	}
+	c.lastArrival = c.now.Steady
+	// A deleted machine's late report must not bring it back.
+	if !c.ownership.MayAnswer() || c.fleet.IsGone(r.Machine) || r.Machine == "" {
+		reply(503, nil)
+		return
+	}
+	var adopted, recalled, found bool
+	if m := c.pool.Machines[r.Machine]; m != nil {
+		adopted, recalled, found = m.Adopted, m.Recall != 0, m.Term == term
+	}
+	m, v := c.pool.Receive(c.now.Steady, r, term, c.ownership.Claims()[r.Type].Since)
+	switch v {
+	case workers.Stale, workers.Deposed:
+		c.log(slog.LevelDebug, "report not taken", "machine", r.Machine, "session", r.Session, "seq", r.Seq, "token", r.Token, "term", term)
+		reply(503, nil)
+		return
+	}
+	c.jobsChanged = c.jobsChanged || m.Adopted != adopted
+	c.recordReport(m, found)
+	if m.Recall != 0 && !recalled && m.Spot {
+		c.fleet.SpotLost()
+	}
+	if rent := c.fleet.Track(r.Machine, fleet.Kind{Class: r.Type, Zone: r.Zone, Spot: r.Spot}, c.now.Steady); rent != nil {
+		rent.Up = true
+	}
+	out := wire.ReportReply{Token: term, Commands: []wire.Command{}}
+	if v == workers.Current {
+		c.dirty = true
+		if c.mayStartCancelled(m) {
+			reply(503, nil)
+			return
+		}
+		out.Commands = c.reconcile(m, out.Commands, false)
+		if c.ownership.MayLaunch() {
+			c.allocateOn(m)
+			out.Commands = c.launchCommands(m, out.Commands)
+			out.Commands = c.repeatLaunches(m, out.Commands)
+		}
+	}
+	// Judged when it leaves: guards against a node that stands still in between.
+	c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: out, Until: c.ownership.ActUntil()})
+}
+
+// mayStartCancelled tells whether an order that was never answered may still start a
+// task of a job that was cancelled a while ago: only the end of the worker's session,
+// which then is not renewed, makes it void. Guards against an order held up for longer
+// than cancel_s.
+func (c *Core) mayStartCancelled(m *workers.Machine) bool {
+	if len(m.Unconfirmed) == 0 {
+		return false
+	}
+	for _, p := range c.loadOf(m.ID).tasks {
+		if p.job.Cancelled && p.job.Assigned[p.task].Delivery == jobs.DirectUnknown && c.now.Steady > p.job.CancelledAt+c.ownership.MaxStaleness {
+			return true
+		}
+	}
+	return false
+}
+
+// attempt names one attempt of a task.
+type attempt struct {
+	id string
+	n  uint64
+}
+
+// reconcile makes the places match a current report, or the list that answers an
+// order (direct), and returns the commands that follow from it.
+func (c *Core) reconcile(m *workers.Machine, cmds []wire.Command, direct bool) []wire.Command {
+	may := c.ownership.MayLaunch()
+	// By attempt: an ended attempt that waits for its clear must not pass for a
+	// later one whose launch was lost, which would then never be launched again.
+	reported := c.reported
+	clear(reported)
+	clear(c.reportedAttempts)
+	clear(m.EndedTasks)
+	for _, t := range m.Tasks {
+		reported[attempt{t.Task, t.Attempt}] = true
+		c.reportedAttempts[t.Attempt] = true
+		jobID, task := jobs.SplitTask(t.Task)
+		j := c.jobs.Open[jobID]
+		if j != nil && (task < 0 || task >= j.Tasks) {
+			j = nil
+		}
+		if t.State == wire.TaskEnded {
+			cmds = c.taskEnded(m, j, t.Task, task, t, cmds, may)
+			continue
+		}
+		if stop, grace := c.taskPresent(m, j, task, t); stop {
+			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: grace})
+		}
+	}
+	c.unassignMissing(m, direct)
+	for n := range m.DirectSince {
+		if !c.reportedAttempts[n] && !m.Unconfirmed[n] && !m.DirectInFlight {
+			delete(m.DirectSince, n)
+		}
+	}
+	return cmds
+}
+
+// unassignMissing takes away the assignments to a machine that its newest list, which
+// reconcile has just gone through, proves to be gone: the launch was lost on its way, or the
+// task went with a session.
+func (c *Core) unassignMissing(m *workers.Machine, direct bool) {
+	load := c.loadOf(m.ID)
+	var gone []string
+	for id, ref := range load.tasks {
+		a := ref.job.Assigned[ref.task]
+		switch {
+		case c.reported[attempt{id, a.Attempt}] || a.State == jobs.Planned:
+		case (a.Delivery == jobs.DirectPending || a.Delivery == jobs.DirectUnknown) && a.Session == m.Session:
+		case direct && a.Delivery == jobs.InReply && a.State == jobs.Sent:
+			// Guards against a list that crossed the answer with the launch: the
+			// task was taken for lost, and started a second time elsewhere.
+		default:
+			gone = append(gone, id)
+		}
+	}
+	slices.Sort(gone)
+	for _, id := range gone {
+		ref := load.tasks[id]
+		c.unassign(ref.job, ref.task)
+	}
+}
+
+// taskPresent takes in a task that a machine lists and that has not ended; j is nil if it is
+// of no job of ours. It tells whether the task has to stop, and with how many seconds to save.
+func (c *Core) taskPresent(m *workers.Machine, j *jobs.Job, task int, t wire.TaskReport) (stop bool, graceS float64) {
+	if j == nil || j.Done.Has(task) {
+		return true, 0 // over, or not ours to run
+	}
+	before, known := j.Assigned[task]
+	if known && before.Machine != m.ID && before.State != jobs.Planned {
+		c.log(slog.LevelError, "task in two places", "task", t.Task, "machine", m.ID, "other", before.Machine)
+		return true, 0
+	}
+	since := before.RunningSince
+	if since == 0 && t.State == wire.TaskRunning {
+		since = c.now.Steady
+	}
+	c.assign(j, task, jobs.Assignment{Machine: m.ID, Attempt: t.Attempt, State: taskState(t.State), RunningSince: since})
+	if t.State == wire.TaskRunning {
+		if !known || before.State < jobs.Running {
+			c.log(slog.LevelDebug, "task runs", "job", j.ID, "task", task, "machine", m.ID, "class", j.Class, "afterS", c.age(j.SubmitUnix).Seconds())
+		}
+		j.Started = true
+		if j.Image != "" {
+			m.Images[j.Image] = true
+		}
+	}
+	return c.mustStop(m, j, task, t)
+}
+
+// mustStop tells whether a task that is on a machine has to stop, and with how many seconds
+// to save.
+func (c *Core) mustStop(m *workers.Machine, j *jobs.Job, task int, t wire.TaskReport) (stop bool, graceS float64) {
+	switch {
+	case j.Cancelled:
+		return true, 0
+	case j.Gang:
+		c.gangReported(j, t)
+		if c.mustStopGang(m, j) {
+			c.stopGang(j, m)
+		}
+		return c.gangStop(j, t)
+	case m.Recall != 0 && c.cannotFinish(m, j, task, t.State):
+		return true, 0
+	case t.State == wire.TaskRunning && (c.mustSave(m, j) || c.mustPreempt(m.ID, t.Task, t.Attempt)):
+		return true, j.SaveS + 1
+	}
+	return false, 0
+}
+
+func taskState(s wire.TaskState) jobs.TaskState {
+	switch s {
+	case wire.TaskRunning:
+		return jobs.Running
+	case wire.TaskSaving:
+		return jobs.Saving
+	}
+	return jobs.Fetching
+}
+
+// mustSave tells whether a task that can save has to do so now, before the
+// cloud takes its machine.
+func (c *Core) mustSave(m *workers.Machine, j *jobs.Job) bool {
+	if m.Recall == 0 || j.CheckS <= 0 {
+		return false
+	}
+	left := m.Recall - c.now.Steady
+	need := limits.Seconds(j.SaveS) + limits.DrainSpare + c.pool.Report*5/4
+	return left <= need
+}
+
+// cannotFinish tells whether a task that saves nothing will not be done before the
+// cloud takes its machine: it had better start over elsewhere at once.
+func (c *Core) cannotFinish(m *workers.Machine, j *jobs.Job, task int, state wire.TaskState) bool {
+	if j.CheckS > 0 || state == wire.TaskSaving {
+		return false
+	}
+	left := j.EstimateS
+	if p := j.Assigned[task]; state == wire.TaskRunning {
+		left = max(left-(c.now.Steady-p.RunningSince).Seconds(), limits.LeastLeft*j.EstimateS)
+	}
+	return left > (m.Recall - c.now.Steady).Seconds()
+}
+
+// taskEnded takes in the end of an attempt. The outcome must be durable before the
+// worker may forget it; only a completion has an outcome that matters.
+func (c *Core) taskEnded(m *workers.Machine, j *jobs.Job, id string, task int, t wire.TaskReport, cmds []wire.Command, may bool) []wire.Command {
+	may = may && c.mayClear(m, j, t)
+	if !may {
+		m.EndedTasks[id] = true
+	}
+	forget := false
+	switch {
+	case j == nil:
+		forget = c.store.Mirror.Loaded
+	case t.Cause == wire.CauseDone:
+		c.taskDone(m, j, task, t)
+		forget = j.IsDurable(task) || j.Cancelled
+	default:
+		c.taskNotDone(m, j, task, t)
+		forget = true
+	}
+	if forget && may {
+		cmds = append(cmds, wire.Command{Verb: wire.VerbClear, Task: id, Attempt: t.Attempt})
+	}
+	return cmds
+}
+
+// assignedHere tells whether a reported attempt is the one that a task has.
+func assignedHere(m *workers.Machine, j *jobs.Job, task int, t wire.TaskReport) bool {
+	a, ok := j.Assigned[task]
+	return ok && a.Machine == m.ID && a.Attempt == t.Attempt
+}
+
+// taskDone takes in a completed task, whatever attempt of it that was.
+func (c *Core) taskDone(m *workers.Machine, j *jobs.Job, task int, t wire.TaskReport) {
+	if j.Gang {
+		c.gangEnded(j, t)
+	}
+	if a, ok := j.Assigned[task]; ok && (assignedHere(m, j, task, t) || a.State == jobs.Planned) {
+		c.unassign(j, task)
+	}
+	if !j.Done.Has(task) {
+		m.Failures = map[string]int{}
+		j.Succeeded = true
+		j.Backoff = 0
+		j.MarkDone(task)
+	}
+}
+
+// taskNotDone takes in an attempt that ended otherwise.
+func (c *Core) taskNotDone(m *workers.Machine, j *jobs.Job, task int, t wire.TaskReport) {
+	if !assignedHere(m, j, task, t) {
+		return
+	}
+	if j.Gang {
+		c.gangEnded(j, t)
+	}
+	if assignedHere(m, j, task, t) {
+		c.unassign(j, task)
+	}
+	c.log(slog.LevelDebug, "attempt ended", "task", t.Task, "machine", m.ID, "cause", t.Cause, "attempt", t.Attempt)
+	if t.Cause == wire.CauseError {
+		c.taskFailed(m, j)
+	}
+}
+
+// taskFailed judges who is to blame for a failed task: the machine, if tasks of
+// jobs that run elsewhere fail on it; the job, if it fails on several machines.
+func (c *Core) taskFailed(m *workers.Machine, j *jobs.Job) {
+	was := j.Faulty()
+	j.FailedOn[m.ID] = true
+	if j.Faulty() {
+		if !was {
+			// The machines were not to blame. Guards against two jobs with a mistake
+			// of which both had run on a machine: it was drained for them.
+			for _, other := range c.pool.Machines {
+				delete(other.Failures, j.ID)
+			}
+		}
+		// Tasks that were started together fail together: that is one try. Guards
+		// against a pause of a minute after the first, although the machines may
+		// have been at fault.
+		if c.now.Steady >= j.NotBefore {
+			j.Backoff = min(max(2*j.Backoff, limits.RetryBase), limits.RetryMost)
+			j.NotBefore = c.now.Steady + j.Backoff
+			c.log(slog.LevelInfo, "job fails everywhere", "job", j.ID, "machines", len(j.FailedOn), "retryIn", j.Backoff)
+		}
+		return
+	}
+	m.Failures[j.ID]++
+	strikes := 0
+	for _, n := range m.Failures {
+		strikes += n
+	}
+	if m.Draining || strikes < limits.StrikesOut || (len(m.Failures) == 1 && !j.Succeeded) {
+		return
+	}
+	m.Draining, m.Faulty = true, true
+	c.log(slog.LevelInfo, "machine fails its tasks", "machine", m.ID, "strikes", strikes)
+	// What failed there says nothing about the jobs. Guards against jobs that were
+	// taken for faulty because several machines were.
+	for _, other := range c.jobs.Open {
+		delete(other.FailedOn, m.ID)
+	}
+}
+
+// launchCommands turns the plans for a machine into commands.
+func (c *Core) launchCommands(m *workers.Machine, cmds []wire.Command) []wire.Command {
+	h := c.loads[m.ID]
+	for _, id := range h.plannedTaskIDs() {
+		p := h.tasks[id]
+		pl := p.job.Assigned[p.task]
+		if len(cmds) >= limits.MaxCommands {
+			break
+		}
+		if p.job.Cancelled || !m.Usable(c.now.Steady, c.pool.Report) {
+			c.unassign(p.job, p.task)
+			continue
+		}
+		pl.State = jobs.Sent
+		c.assign(p.job, p.task, pl)
+		cmds = append(cmds, wire.Command{Verb: wire.VerbLaunch, Task: id, Attempt: pl.Attempt})
+	}
+	return cmds
+}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -1,25 +1,19 @@
 package controller
 
 import (
-	"bytes"
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
-	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"umberpaddle/internal/config"
 	"umberpaddle/internal/limits"
-	"umberpaddle/internal/wire"
 )
 
 // inboxEvent is an input on its way to the loop; the answer, if one is expected,
@@ -72,15 +66,6 @@
 	return s
 }
 
-func transport(conns int) *http.Transport {
-	d := &net.Dialer{Timeout: limits.PeerTimeout}
-	return &http.Transport{
-		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-			return d.DialContext(ctx, "tcp4", addr)
-		},
-		MaxIdleConnsPerHost: conns, MaxConnsPerHost: conns, IdleConnTimeout: limits.ClientIdle, DisableCompression: true}
-}
-
 // idle is for how long a connection to this node may be without a request. Guards
 // against sockets used up by workers that left theirs behind in a cut and came back
 // on new ones, several times over.
@@ -252,187 +237,3 @@
 		return Answer{}, false
 	}
 }
-
-// request makes one HTTP request; status 0 is no answer.
-func (s *Server) request(client *http.Client, host, method, path string, body any, timeout time.Duration) (int, []byte) {
-	status, b, _ := s.requestTracked(client, host, method, path, body, timeout)
-	return status, b
-}
-
-// requestTracked is do; unsent tells that there was no connection to send anything on.
-func (s *Server) requestTracked(client *http.Client, host, method, path string, body any, timeout time.Duration) (status int, answer []byte, unsent bool) {
-	ctx, cancel := context.WithTimeout(s.ctx, timeout)
-	defer cancel()
-	var rd io.Reader
-	if body != nil {
-		b, err := wire.Encode(body)
-		if err != nil {
-			s.log.Error("request not encoded", "path", path, "error", err)
-			return 400, nil, true
-		}
-		rd = bytes.NewReader(b)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+host+path, rd)
-	if err != nil {
-		s.log.Error("request not made", "path", path, "error", err)
-		return 400, nil, true
-	}
-	if body != nil {
-		req.Header.Set("Content-Type", "application/msgpack")
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		s.log.Debug("no answer", "method", method, "path", path, "error", err)
-		var op *net.OpError
-		return 0, nil, errors.As(err, &op) && op.Op == "dial"
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, limits.MaxStoreBodyBytes))
-	if err != nil {
-		return 0, nil, false
-	}
-	if resp.StatusCode >= 300 && resp.StatusCode != 404 && resp.StatusCode != 409 {
-		s.log.Debug("refused", "method", method, "path", path, "status", resp.StatusCode, "body", string(b[:min(len(b), 200)]))
-	}
-	return resp.StatusCode, b, false
-}
-
-func (s *Server) handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /checkin", s.checkin)
-	mux.HandleFunc("POST /work", func(w http.ResponseWriter, r *http.Request) {
-		body, ok := readBody(w, r)
-		if ok {
-			s.user(w, func(ref uint64) Input { return Submit{ref, body} })
-		}
-	})
-	mux.HandleFunc("GET /work/{id}", func(w http.ResponseWriter, r *http.Request) {
-		id := r.PathValue("id")
-		s.limitKeepAlive(w)
-		a, ok := s.enqueue(r.Context(), s.questions, func(ref uint64) Input { return Query{ref, id} }, limits.QuestionRoom, limits.QuestionEdge)
-		s.answerUser(w, a, ok)
-	})
-	mux.HandleFunc("POST /work/{id}/cancel", func(w http.ResponseWriter, r *http.Request) {
-		id := r.PathValue("id")
-		s.user(w, func(ref uint64) Input { return Cancel{ref, id} })
-	})
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		a, ok := s.ask(func(ref uint64) Input { return Ready{ref} }, limits.EdgeTimeout)
-		if !ok {
-			a = Answer{Status: 503}
-		}
-		reply(w, a)
-	})
-	return mux
-}
-
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes))
-	if err != nil {
-		status := 400
-		var tooLarge *http.MaxBytesError
-		if !errors.As(err, &tooLarge) {
-			status = 503
-		}
-		reply(w, Answer{Status: status, Body: wire.ErrorBody{Error: "body not read"}})
-		return nil, false
-	}
-	return b, true
-}
-
-func (s *Server) user(w http.ResponseWriter, newInput func(uint64) Input) {
-	s.limitKeepAlive(w)
-	a, ok := s.ask(newInput, limits.EdgeTimeout)
-	s.answerUser(w, a, ok)
-}
-
-// limitKeepAlive lets a user's connection end when there are many.
-func (s *Server) limitKeepAlive(w http.ResponseWriter) {
-	if s.conns.Load() > s.keepAliveLimit {
-		w.Header().Set("Connection", "close")
-	}
-}
-
-// answerUser passes an answer on; without one the user is told when to come back.
-func (s *Server) answerUser(w http.ResponseWriter, a Answer, ok bool) {
-	if !ok {
-		a = Answer{Status: 503, Body: wire.ErrorBody{Error: "overloaded"}, RetryAfter: limits.RetryAfterS}
-	}
-	reply(w, a)
-}
-
-func (s *Server) checkin(w http.ResponseWriter, r *http.Request) {
-	body, ok := readBody(w, r)
-	if !ok {
-		return
-	}
-	rep := &wire.Report{}
-	err := wire.Decode(body, rep)
-	if err == nil {
-		err = rep.Validate()
-	}
-	if err != nil {
-		s.log.Debug("report not understood", "error", err)
-		reply(w, Answer{Status: 400})
-		return
-	}
-	a, ok := s.ask(func(ref uint64) Input { return Checkin{ref, rep} }, limits.EdgeTimeout)
-	// What was decided before a standstill must not leave after it.
-	if !ok || (a.Until > 0 && s.now().Steady >= a.Until) {
-		a = Answer{Status: 503}
-	}
-	reply(w, a)
-}
-
-func reply(w http.ResponseWriter, a Answer) {
-	if a.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(a.RetryAfter))
-	}
-	var b []byte
-	if a.Body != nil {
-		var err error
-		if b, err = wire.Encode(a.Body); err != nil {
-			a.Status, b = 503, nil
-		}
-	}
-	w.Header().Set("Content-Type", "application/msgpack")
-	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
-	w.WriteHeader(a.Status)
-	w.Write(b) //nolint: the peer may be gone, and that is its own loss
-}
-
-// countedListener bounds the open connections.
-type countedListener struct {
-	net.Listener
-	s *Server
-}
-
-func (l *countedListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil, err
-			}
-			time.Sleep(limits.TickInterval) // no socket free: others will close
-			continue
-		}
-		if l.s.conns.Load() >= l.s.connectionLimit {
-			c.Close()
-			continue
-		}
-		l.s.conns.Add(1)
-		return &countedConn{Conn: c, s: l.s}, nil
-	}
-}
-
-type countedConn struct {
-	net.Conn
-	s    *Server
-	once sync.Once
-}
-
-func (c *countedConn) Close() error {
-	c.once.Do(func() { c.s.conns.Add(-1) })
-	return c.Conn.Close()
-}
