Tests: a repeated submission gets an answer older than itself; known red

A user was told that a job is cancelled, repeated its submission at another node and was told that it is queued. Read from the records of the incident: at that node a first submission of the job, sent 0.2 s earlier, still waited for a look at the state service that answered a second late. The repeat joined it and got the answer of a look that had left before the repeat was sent.

Three tests of the job registry bring this about with chosen answers of the state service: the look-up, the transaction that accepts a job, and an acceptance that comes after this node knows the end.

--- a/internal/jobs/registry_test.go
+++ b/internal/jobs/registry_test.go
@@ -48,6 +48,7 @@
 	book  *Registry
 	now   time.Duration
 	txns  []statestore.Call
+	gets  []statestore.Call
 }
 
 func newBench(t *testing.T) *bench {
@@ -76,6 +77,8 @@
 			b.store.Reply(b.now, c.ID, 200, b.pack(map[string]any{"rows": []any{}, "ledger": 1}))
 		case c.Path == "/multi":
 			b.txns = append(b.txns, c)
+		case strings.HasPrefix(c.Path, "/kv/"):
+			b.gets = append(b.gets, c)
 		}
 	}
 	for _, ch := range b.store.Mirror.TakeChanges() {
--- /dev/null
+++ b/internal/jobs/stale_answers_test.go
@@ -0,0 +1,127 @@
+package jobs
+
+import (
+	"testing"
+
+	"umberpaddle/internal/statestore"
+	"umberpaddle/internal/wire"
+)
+
+// submissionUnderWay is a registry with one submission whose transaction has left. Answers of
+// the state service are slow: the tests give them after more requests have come.
+func submissionUnderWay(t *testing.T, id string) (b *bench, commit statestore.Call, answers *[]Answer) {
+	t.Helper()
+	b = newBench(t)
+	b.tick()
+	answers = &[]Answer{}
+	b.submit(id, answers)
+	b.tick()
+	return b, b.takeTxn(), answers
+}
+
+func (b *bench) submit(id string, answers *[]Answer) {
+	job := &wire.Job{ID: id, Tasks: 1, Types: []string{"c"}}
+	b.book.Submit(b.now, job, func(a Answer) { *answers = append(*answers, a) })
+}
+
+// takeTxn returns the only transaction that has left since the last call.
+func (b *bench) takeTxn() statestore.Call {
+	b.t.Helper()
+	if len(b.txns) != 1 {
+		b.t.Fatalf("%d transactions have left, want 1", len(b.txns))
+	}
+	call := b.txns[0]
+	b.txns = nil
+	return call
+}
+
+// replyFinal answers the reading of a job's final state.
+func (b *bench) replyFinal(state wire.JobState) {
+	b.t.Helper()
+	if len(b.gets) != 1 {
+		b.t.Fatalf("%d keys are read, want 1", len(b.gets))
+	}
+	call := b.gets[0]
+	b.gets = nil
+	b.store.Reply(b.now, call.ID, 200, b.pack(map[string]any{"path": "x", "v": finalState{Status: state}, "stamp": 9}))
+}
+
+func mustTell(t *testing.T, a Answer, want wire.JobState) {
+	t.Helper()
+	state, ok := a.Body.(wire.JobStatus)
+	if a.Status != 200 || !ok || state.Status != want {
+		t.Errorf("answer %+v, want 200 %s", a, want)
+	}
+}
+
+// TestRepeatAfterTheLookUpLeft guards against what a user was told on the night of the records:
+// a submission that is known already waits for a look at the state service. The look has left
+// and finds the job open; then another node tells that the job is cancelled, and a repeat of
+// the submission comes. It must not share the answer of a look that left before it came.
+func TestRepeatAfterTheLookUpLeft(t *testing.T) {
+	b, commit, first := submissionUnderWay(t, "job-1")
+	b.store.Reply(b.now, commit.ID, 409, b.pack(wire.TxnReply{Failed: []string{keyJob + "job-1"}}))
+	b.tick()
+	look := b.takeTxn()
+
+	var repeat []Answer
+	b.submit("job-1", &repeat)
+	b.store.Reply(b.now, look.ID, 409, b.pack(wire.TxnReply{Failed: []string{keyJob + "job-1"}}))
+	if len(*first) != 1 {
+		t.Fatalf("the first submission has %d answers", len(*first))
+	}
+	mustTell(t, (*first)[0], wire.StatusPending)
+	if len(repeat) != 0 {
+		t.Fatalf("the repeat was answered from an earlier look: %+v", repeat)
+	}
+	b.tick()
+	b.store.Reply(b.now, b.takeTxn().ID, 409, b.pack(wire.TxnReply{Failed: []string{keyFinal + "job-1"}}))
+	b.tick()
+	b.replyFinal(wire.StatusCancelled)
+	if len(repeat) != 1 {
+		t.Fatalf("the repeat has %d answers", len(repeat))
+	}
+	mustTell(t, repeat[0], wire.StatusCancelled)
+}
+
+// TestRepeatAfterTheTransactionLeft is the same for the transaction that accepts the job:
+// its answer is late, and before a repeat comes, users of other nodes were told that the job
+// was accepted and cancelled.
+func TestRepeatAfterTheTransactionLeft(t *testing.T) {
+	b, commit, first := submissionUnderWay(t, "job-1")
+	var repeat []Answer
+	b.submit("job-1", &repeat)
+	b.store.Reply(b.now, commit.ID, 200, b.pack(wire.TxnReply{Revision: 9}))
+	if len(*first) != 1 || (*first)[0].Status != 201 {
+		t.Fatalf("the first submission got %+v", *first)
+	}
+	if len(repeat) != 0 {
+		t.Fatalf("the repeat was answered from an earlier transaction: %+v", repeat)
+	}
+	b.tick()
+	b.store.Reply(b.now, b.takeTxn().ID, 409, b.pack(wire.TxnReply{Failed: []string{keyFinal + "job-1"}}))
+	b.tick()
+	b.replyFinal(wire.StatusCancelled)
+	if len(repeat) != 1 {
+		t.Fatalf("the repeat has %d answers", len(repeat))
+	}
+	mustTell(t, repeat[0], wire.StatusCancelled)
+}
+
+// TestLateAcceptanceTellsTheKnownEnd: a peer's word that the job is cancelled overtakes the
+// answer of the transaction that accepted it. The node itself has told users the end by then.
+func TestLateAcceptanceTellsTheKnownEnd(t *testing.T) {
+	b, commit, first := submissionUnderWay(t, "job-1")
+	b.book.MergeCancellations(b.now, []string{"job-1"})
+	var question []Answer
+	b.book.Query(b.now, "job-1", func(a Answer) { question = append(question, a) })
+	if len(question) != 1 {
+		t.Fatalf("the question has %d answers", len(question))
+	}
+	mustTell(t, question[0], wire.StatusCancelled)
+	b.store.Reply(b.now, commit.ID, 200, b.pack(wire.TxnReply{Revision: 9}))
+	if len(*first) != 1 {
+		t.Fatalf("the submission has %d answers", len(*first))
+	}
+	mustTell(t, (*first)[0], wire.StatusCancelled)
+}
