Tests: commands and answers are held up for twice as long

Machines now hang for 110 s instead of 50, and jobs are called off four times instead of once. That is harder with the guard as well; nothing that is checked changes.

--- a/internal/controller/concurrent_failures_test.go
+++ b/internal/controller/concurrent_failures_test.go
@@ -456,11 +456,14 @@
 		return 40 * s
 	}, without: noCancels, breaks: "ran_cancelled"},
 	{name: "commands and answers held up", setup: func(w *simulation) { w.slow, w.repeats, w.cached = 0.05, 1, true }, play: func(w *simulation) time.Duration {
-		for at := 2 * s; at < 50*s; at += 8 * s {
+		for at := 2 * s; at < 110*s; at += 8 * s {
 			w.schedule(at, func() { w.someMachines(5, hangFor(w.between(2, 12))) })
 		}
-		w.scheduleAll(timedFault{10 * s, func() { w.callOff(w.nodes[0], w.longest(4)) }}, timedFault{50 * s, func() { w.slow, w.repeats = 0, 0 }})
-		return 65 * s
+		for at := 10 * s; at < 110*s; at += 30 * s {
+			w.schedule(at, func() { w.callOff(w.nodes[0], w.longest(4)) })
+		}
+		w.schedule(110*s, func() { w.slow, w.repeats = 0, 0 })
+		return 125 * s
 	}, without: lateOrders, breaks: "ran_ in_use quota"},
 	{name: "orders held up for leases, jobs called off", quiet: true, setup: func(w *simulation) {
 		for i := 0; i < 4; i++ {
