Answers: nobody is told what was read before the request came

Cause: whoever repeated a submission that was under way got the answer of the first, also when what it told had been read before the repeat was sent. With a state service that answers a second late, other nodes told users of the job's cancellation in between, and the repeat was told that it is queued (went_back). The class of the fault: an action on stale knowledge, here a reading shared with a request that came after it left. Questions and cancellations always had a reading of their own; repeats that joined had not. An acceptance that is answered late told "pending" although the node itself had told users the job's end.

Change: every user who waits carries the number of the last call that had left for the state service when the request arrived; every reply carries its call's number. One function gives answers on unfinished jobs. It tells the end, if the node knows it by then, and gives nothing that was read before the request: who joined too late has a look-up of its own. Should another path forget that, the answer is withheld (503), logged as an error and counted (WithheldAnswers); the simulation treats that as a broken rule.

--- a/internal/controller/concurrent_failures_test.go
+++ b/internal/controller/concurrent_failures_test.go
@@ -64,6 +64,30 @@
 	}
 }
 
+// callOffSoon lets users submit small jobs over a time, each at two nodes at once, and cancel
+// them within a fraction of a second after they are known to be accepted.
+func (w *simulation) callOffSoon(count int, over time.Duration) {
+	for i := range count {
+		id := fmt.Sprintf("job-4%05d", i)
+		w.schedule(time.Duration(w.rng.Float64()*float64(over)), func() {
+			j := w.user(id, spec("blue", 1+w.rng.IntN(2), 1, 5), 5)
+			w.submitAgain(j)
+			w.cancelOnceAccepted(j)
+		})
+	}
+}
+
+// cancelOnceAccepted cancels a job soon after its acceptance was told.
+func (w *simulation) cancelOnceAccepted(j *simJob) {
+	w.schedule(w.between(0.02, 0.2), func() {
+		if j.accepted {
+			w.cancel(j)
+		} else if w.now < quiet+90*s {
+			w.cancelOnceAccepted(j)
+		}
+	})
+}
+
 // endOwner ends the owner, which is back after some time.
 func (w *simulation) endOwner(back time.Duration) {
 	if o := w.owner(); o != nil {
@@ -294,6 +318,12 @@
 		w.schedule(10*s, func() { w.endOwner(2 * s) })
 		return 60 * s
 	}, without: func(w *simulation) { w.memory = true }, breaks: "forgotten went_back"},
+	{name: "late answers of the state service, jobs called off at once", setup: func(w *simulation) { w.looks = true }, play: func(w *simulation) time.Duration {
+		w.store.held = 0.3
+		w.callOffSoon(120, 50*s)
+		w.schedule(25*s, func() { w.endOwner(2 * s) })
+		return 60 * s
+	}, without: func(w *simulation) { w.sharing = true }, breaks: "went_back"},
 	{name: "a zone cut off with a controller", play: func(w *simulation) time.Duration {
 		w.cutZone("a", w.owner(), 40*s)
 		return 45 * s
@@ -540,7 +570,7 @@
 	over := m.play(w)
 	w.run(quiet + over)
 	w.lag, w.copies, w.keep, w.slow, w.repeats, w.atEnd, w.looks, w.kept = 0, 0, 0, 0, 0, 0, false, nil
-	w.store.late, w.store.unsaid, w.store.slow = 0, 0, 0
+	w.store.late, w.store.unsaid, w.store.slow, w.store.held = 0, 0, 0, 0
 	w.calm = w.now
 	w.run(w.now + 220*s)
 	return w
--- a/internal/controller/simulation_store_test.go
+++ b/internal/controller/simulation_store_test.go
@@ -46,6 +46,7 @@
 	late     float64             // part of transactions that get no answer and are carried out later
 	unsaid   float64             // part of transactions that are carried out and get no answer
 	slow     float64             // most seconds that a request waits before it is looked at
+	held     float64             // part of answers that leave up to 1.2 s after the request was carried out
 	now      *config.StateLimits // limits that it holds to; nil: those of the settings
 	tooLarge int                 // transactions refused for their size
 	changes  float64             // left of a second's budget of changes
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -40,6 +40,7 @@
 	kept     []func(n *simNode)
 	newest   uint64                                                  // the highest term that anybody acted on
 	memory   bool                                                    // nodes answer questions from what they remember, which is wrong
+	sharing  bool                                                    // nodes let a repeated submission share the answer of the one before, which is wrong
 	looks    bool                                                    // users look at all nodes after each thing they were told
 	atEnd    float64                                                 // part of jobs that are called off as their last task ends
 	gossip   func(from *simNode, m *PeerMessage, a *PeerAnswer) bool // may change or drop what peers say
@@ -226,6 +227,8 @@
 	steps int
 	refs  map[uint64]func(int, []byte)
 	ref   uint64
+	// submissions are those under way, by their bodies, if answers are shared.
+	submissions map[string][]func(int, []byte)
 	// A standstill: until when, whether the outputs of one step more leave only
 	// after it, and what came meanwhile.
 	frozen time.Duration
@@ -247,6 +250,7 @@
 	n.start = n.w.now
 	n.drift = 0.0005 * n.w.rng.Float64()
 	n.refs = map[uint64]func(int, []byte){}
+	n.submissions = map[string][]func(int, []byte){}
 	set := &config.Settings{Label: n.label}
 	for i := 0; i < n.w.cfg.nodes; i++ {
 		if i != n.idx {
@@ -323,8 +327,30 @@
 		return
 	}
 	n.ref++
+	in := newInput(n.ref)
+	if x, ok := in.(Submit); ok && n.w.sharing {
+		n.share(x, answer)
+		return
+	}
 	n.refs[n.ref] = answer
-	n.step(newInput(n.ref))
+	n.step(in)
+}
+
+// share answers a submission together with those of the same job that are under way.
+func (n *simNode) share(x Submit, answer func(int, []byte)) {
+	id := string(x.Body)
+	n.submissions[id] = append(n.submissions[id], answer)
+	if len(n.submissions[id]) > 1 {
+		return
+	}
+	n.refs[x.Ref] = func(status int, body []byte) {
+		waiting := n.submissions[id]
+		delete(n.submissions, id)
+		for _, f := range waiting {
+			f(status, body)
+		}
+	}
+	n.step(x)
 }
 
 func (n *simNode) step(in Input) {
@@ -352,6 +378,9 @@
 		return
 	}
 	out := n.core.Step(n.clock(), in)
+	if n.core.jobs.WithheldAnswers > 0 {
+		n.w.reportBroken("withheld", "%s had an answer older than its request", n.label)
+	}
 	for _, term := range n.core.active {
 		if term > n.w.newest {
 			n.w.newest = term
@@ -431,6 +460,10 @@
 func (n *simNode) callStore(x StoreCall) {
 	body, step := pack(x.Body), n.later()
 	n.w.call(n.label, "state", x.Timeout, func(answer func(int, []byte)) {
+		if n.w.store.held > 0 && n.w.chance(n.w.store.held) {
+			soon := answer
+			answer = func(status int, b []byte) { n.w.schedule(n.w.between(0.1, 1.2), func() { soon(status, b) }) }
+		}
 		n.w.schedule(n.w.between(0, n.w.store.slow), func() { n.w.store.serve(n.idx, x.Method, x.Path, body, answer) })
 	}, func(status int, b []byte) { step(StoreReply{x.ID, status, b}) })
 }
--- a/internal/controller/simulation_users_test.go
+++ b/internal/controller/simulation_users_test.go
@@ -39,8 +39,17 @@
 	w.jobs[id] = j
 	body := pack(spec)
 	j.body = body
+	w.submitAgain(j)
+	if w.chance(0.1) { // the same job at two nodes at once
+		w.submitAgain(j)
+	}
+	return j
+}
+
+// submitAgain sends a job's submission to a node and repeats it until it is answered.
+func (w *simulation) submitAgain(j *simJob) {
+	id, body, began := j.id, j.body, w.now
 	var submit func()
-	began := w.now
 	submit = func() {
 		told := j.told
 		n := w.nodes[w.rng.IntN(len(w.nodes))]
@@ -67,10 +76,6 @@
 		})
 	}
 	submit()
-	if w.chance(0.1) { // the same job at two nodes at once
-		submit()
-	}
-	return j
 }
 
 // fill adds the fields that a submission must have and a test doesn't care about.
--- a/internal/jobs/registry.go
+++ b/internal/jobs/registry.go
@@ -41,6 +41,9 @@
 	now      time.Duration
 	unixTime float64 // time of day, for the log
 	Open     map[string]*Job
+	// WithheldAnswers counts answers that were not given because they were older than their
+	// requests: each is a fault of this program.
+	WithheldAnswers int
 
 	finals     map[string]finalState
 	finalOrder []string
--- a/internal/jobs/users.go
+++ b/internal/jobs/users.go
@@ -10,31 +10,18 @@
 	"umberpaddle/internal/wire"
 )
 
-// Answer is what a user gets.
-type Answer struct {
-	Status     int
-	Body       any
-	RetryAfter int
-}
-
-// RetryLater tells a user to come back.
-func RetryLater() Answer {
-	return Answer{Status: 503, Body: wire.ErrorBody{Error: "try again"}, RetryAfter: limits.RetryAfterS}
-}
-
+// submission is a job that is to be accepted, with all users who wait for that.
 type submission struct {
 	job     *wire.Job
 	until   time.Duration
-	answers []func(Answer)
-	alone   bool
+	waiters []*waiter // the first is told 201
+	alone   bool      // in a transaction of its own
+	exists  bool      // the job was accepted before: only its state is still asked for
 }
 
 // lookup is a question whether a job is final, or exists at all.
 type lookup struct {
-	id     string
-	until  time.Duration
-	answer func(Answer)
-	over   func() bool
+	*waiter
 	cancel bool
 }
 
@@ -54,8 +41,9 @@
 // Submit accepts a job: one transaction makes it durable, unless it exists.
 func (b *Registry) Submit(now time.Duration, job *wire.Job, answer func(Answer)) {
 	b.now = max(b.now, now)
+	w := b.newWaiter(job.ID, limits.SubmitWait, answer)
 	if s := b.submissionsByID[job.ID]; s != nil {
-		s.answers = append(s.answers, answer)
+		b.join(s, w)
 		return
 	}
 	if b.Full() {
@@ -71,25 +59,35 @@
 		answer(Answer{Status: 429, Body: wire.ErrorBody{Error: "the state service's budget is used up"}, RetryAfter: int(math.Ceil(wait.Seconds()))})
 		return
 	}
-	s := &submission{job: job, until: b.now + limits.SubmitWait, answers: []func(Answer){answer}}
+	s := &submission{job: job, until: w.until, waiters: []*waiter{w}}
 	b.submissionsByID[job.ID] = s
 	b.waiting++
 	b.submissions = append(b.submissions, s)
 }
 
-func (b *Registry) respond(s *submission, first, rest Answer) {
+// join lets the repeat of a submission wait with the one that is under way.
+func (b *Registry) join(s *submission, w *waiter) {
+	if s.exists {
+		b.lookUp(&lookup{waiter: w})
+		return
+	}
+	s.waiters = append(s.waiters, w)
+}
+
+// close ends a submission: repeats of it are judged anew.
+func (b *Registry) close(s *submission) {
 	if b.submissionsByID[s.job.ID] == s {
 		delete(b.submissionsByID, s.job.ID)
 	}
 	b.waiting--
-	for i, f := range s.answers {
-		if i == 0 {
-			f(first)
-		} else {
-			f(rest)
-		}
+}
+
+// retry tells all who wait for a submission to come back.
+func (b *Registry) retry(s *submission) {
+	b.close(s)
+	for _, w := range s.waiters {
+		w.answer(RetryLater())
 	}
-	s.answers = nil
 }
 
 // sendSubmissions groups the waiting submissions into transactions.
@@ -120,7 +118,7 @@
 		decoded := wire.Decode(r.Body, &tr) == nil
 		switch {
 		case r.Status == statestore.OK && decoded:
-			b.accepted(group, tr.Revision)
+			b.accepted(group, reading{r.Call}, tr.Revision)
 		case r.Status == statestore.Conflict && decoded:
 			b.conflicted(group, failedKeys(tr))
 		case r.Status == statestore.BadRequest && len(group) > 1:
@@ -133,7 +131,7 @@
 			// Not executed, or perhaps executed later: the user asks again, and
 			// the guards make one job of it.
 			for _, s := range group {
-				b.respond(s, RetryLater(), RetryLater())
+				b.retry(s)
 			}
 		}
 	})
@@ -149,7 +147,7 @@
 }
 
 // accepted answers submissions that are durable now.
-func (b *Registry) accepted(group []*submission, revision uint64) {
+func (b *Registry) accepted(group []*submission, r reading, revision uint64) {
 	for _, s := range group {
 		// The mirror may have it already, or even have seen it end.
 		if b.Open[s.job.ID] == nil && b.store.Mirror.Revision < revision {
@@ -158,8 +156,25 @@
 			}
 		}
 		b.log(slog.LevelInfo, "job accepted", "job", s.job.ID, "team", s.job.Team, "tasks", s.job.Tasks)
-		st := wire.JobStatus{ID: s.job.ID, Status: wire.StatusPending}
-		b.respond(s, Answer{Status: 201, Body: st}, Answer{Status: 200, Body: st})
+		b.close(s)
+		b.answerAccepted(s, r)
+	}
+}
+
+// answerAccepted answers those who wait for a submission that was just accepted. Guards
+// against repeats that came when the transaction had left: by the time of its answer, users of
+// other nodes may have been told that the job is cancelled, before the repeat was sent.
+func (b *Registry) answerAccepted(s *submission, r reading) {
+	pending := wire.JobStatus{ID: s.job.ID, Status: wire.StatusPending}
+	for i, w := range s.waiters {
+		switch {
+		case i == 0:
+			b.answerFrom(r, w, Answer{Status: 201, Body: pending})
+		case r.covers(w):
+			b.answerFrom(r, w, stateAnswer(pending))
+		default:
+			b.lookUp(&lookup{waiter: w})
+		}
 	}
 }
 
@@ -168,16 +183,32 @@
 func (b *Registry) conflicted(group []*submission, failed map[string]bool) {
 	for _, s := range group {
 		if failed[keyJob+s.job.ID] || failed[keyFinal+s.job.ID] {
-			b.lookUp(&lookup{id: s.job.ID, until: s.until, answer: func(a Answer) { b.respond(s, a, a) }})
+			b.lookUpExisting(s)
 		} else {
 			b.resubmit(s)
 		}
 	}
 }
 
+// lookUpExisting asks for the state of a job whose submission is a repeat. Each who waits has a
+// look-up of its own, also those who come until the first is answered: a shared answer would be
+// older than the requests of those who came after it was read.
+func (b *Registry) lookUpExisting(s *submission) {
+	s.exists = true
+	first := s.waiters[0]
+	reply := first.reply
+	first.reply = func(a Answer) {
+		b.close(s)
+		reply(a)
+	}
+	for _, w := range s.waiters {
+		b.lookUp(&lookup{waiter: w})
+	}
+}
+
 func (b *Registry) resubmit(s *submission) {
 	if b.now >= s.until {
-		b.respond(s, RetryLater(), RetryLater())
+		b.retry(s)
 		return
 	}
 	s.alone = true
@@ -187,18 +218,18 @@
 // Query answers with a state that is no older than the question.
 func (b *Registry) Query(now time.Duration, id string, answer func(Answer)) {
 	b.now = max(b.now, now)
-	b.lookUp(&lookup{id: id, until: b.now + limits.PollWait, answer: answer})
+	b.lookUp(&lookup{waiter: b.newWaiter(id, limits.PollWait, answer)})
 }
 
 // Cancel cancels a job unless it is over.
 func (b *Registry) Cancel(now time.Duration, id string, answer func(Answer)) {
 	b.now = max(b.now, now)
-	b.lookUp(&lookup{id: id, until: b.now + limits.SubmitWait, answer: answer, cancel: true})
+	b.lookUp(&lookup{waiter: b.newWaiter(id, limits.SubmitWait, answer), cancel: true})
 }
 
 func (b *Registry) lookUp(a *lookup) {
-	if f, ok := b.finals[a.id]; ok {
-		a.answer(Answer{Status: 200, Body: wire.JobStatus{ID: a.id, Status: f.Status, Done: f.Done}})
+	if f, ok := b.finals[a.job]; ok {
+		a.answer(finalAnswer(a.job, f))
 		return
 	}
 	if b.store.Unreachable() {
@@ -210,15 +241,11 @@
 		return
 	}
 	b.waiting++
-	inner, over := a.answer, false
-	a.answer = func(x Answer) {
-		if !over {
-			over = true
-			b.waiting--
-			inner(x)
-		}
+	reply := a.reply
+	a.reply = func(x Answer) {
+		b.waiting--
+		reply(x)
 	}
-	a.over = func() bool { return over }
 	b.lookups = append(b.lookups, a)
 	b.openLookups = append(b.openLookups, a)
 }
@@ -229,10 +256,10 @@
 func (b *Registry) expireLookups() {
 	kept := b.openLookups[:0]
 	for _, a := range b.openLookups {
-		if !a.over() && b.now >= a.until {
+		if !a.answered && b.now >= a.until {
 			a.answer(RetryLater())
 		}
-		if !a.over() {
+		if !a.answered {
 			kept = append(kept, a)
 		}
 	}
@@ -261,6 +288,7 @@
 			}
 			return
 		}
+		read := reading{r.Call}
 		asked := map[string]bool{}
 		for _, g := range t.Guards {
 			asked[g.Key] = true
@@ -268,14 +296,14 @@
 		failed := failedKeys(tr)
 		for _, a := range group {
 			switch {
-			case failed[keyFinal+a.id]:
+			case failed[keyFinal+a.job]:
 				b.readFinal(a)
-			case asked[keyJob+a.id] && !failed[keyJob+a.id]:
-				a.answer(Answer{Status: 404, Body: wire.ErrorBody{Error: "no such job"}})
+			case asked[keyJob+a.job] && !failed[keyJob+a.job]:
+				b.answerFrom(read, a.waiter, Answer{Status: 404, Body: wire.ErrorBody{Error: "no such job"}})
 			case a.cancel:
 				b.readOpen(a)
 			default:
-				a.answer(Answer{Status: 200, Body: b.currentStatus(a.id)})
+				b.answerFrom(read, a.waiter, stateAnswer(b.currentStatus(a.job)))
 			}
 		}
 	})
@@ -287,17 +315,17 @@
 	for len(b.lookups) > 0 && len(t.Guards)+2 <= b.store.TxnGuards {
 		a := b.lookups[0]
 		b.lookups = b.lookups[1:]
-		if a.over() {
+		if a.answered {
 			continue
 		}
-		j := b.Open[a.id]
+		j := b.Open[a.job]
 		if a.cancel && j != nil {
 			b.cancel(a, j.version)
 			continue
 		}
-		t.Guards = append(t.Guards, wire.Guard{Key: keyFinal + a.id})
+		t.Guards = append(t.Guards, wire.Guard{Key: keyFinal + a.job})
 		if j == nil {
-			t.Guards = append(t.Guards, wire.Guard{Key: keyJob + a.id})
+			t.Guards = append(t.Guards, wire.Guard{Key: keyJob + a.job})
 		}
 		group = append(group, a)
 	}
@@ -305,20 +333,20 @@
 }
 
 func (b *Registry) readFinal(a *lookup) {
-	b.store.Get(statestore.User, limits.PollWait, keyFinal+a.id, func(r statestore.Reply) {
+	b.store.Get(statestore.User, limits.PollWait, keyFinal+a.job, func(r statestore.Reply) {
 		f, ok := decodeFinal(r)
 		if !ok {
 			a.answer(RetryLater())
 			return
 		}
-		b.cacheFinal(a.id, f)
-		a.answer(Answer{Status: 200, Body: wire.JobStatus{ID: a.id, Status: f.Status, Done: f.Done}})
+		b.cacheFinal(a.job, f)
+		a.answer(finalAnswer(a.job, f))
 	})
 }
 
 // readOpen finds the version of a job that the mirror doesn't have yet.
 func (b *Registry) readOpen(a *lookup) {
-	b.store.Get(statestore.User, limits.PollWait, keyJob+a.id, func(r statestore.Reply) {
+	b.store.Get(statestore.User, limits.PollWait, keyJob+a.job, func(r statestore.Reply) {
 		var row wire.Row
 		if r.Status != statestore.OK || wire.Decode(r.Body, &row) != nil {
 			a.answer(RetryLater())
@@ -330,18 +358,18 @@
 
 func (b *Registry) cancel(a *lookup, version uint64) {
 	done := 0
-	if j := b.Open[a.id]; j != nil {
+	if j := b.Open[a.job]; j != nil {
 		done = max(j.DoneCount, j.displayDone)
 	}
 	f := finalState{Status: wire.StatusCancelled, Done: done}
 	t := wire.Txn{
-		Guards: []wire.Guard{{Key: keyJob + a.id, Version: version}, {Key: keyFinal + a.id}},
-		Then:   []wire.Op{{Key: keyFinal + a.id, Value: f}, {Key: keyCancelled + a.id, Value: true}}}
+		Guards: []wire.Guard{{Key: keyJob + a.job, Version: version}, {Key: keyFinal + a.job}},
+		Then:   []wire.Op{{Key: keyFinal + a.job, Value: f}, {Key: keyCancelled + a.job, Value: true}}}
 	b.store.Txn(statestore.User, limits.SubmitWait, t, func(r statestore.Reply) {
 		switch r.Status {
 		case statestore.OK:
-			b.cacheFinal(a.id, f)
-			a.answer(Answer{Status: 200, Body: wire.JobStatus{ID: a.id, Status: f.Status, Done: f.Done}})
+			b.cacheFinal(a.job, f)
+			a.answer(finalAnswer(a.job, f))
 		case statestore.Conflict:
 			b.readFinal(a)
 		default:
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -59,6 +59,7 @@
 	Status int
 	Body   []byte
 	SentAt time.Duration // steady time at which the request left
+	Call   uint64        // the call that was answered; 0: the request never left
 }
 
 // Refused tells that the request was certainly not executed.
@@ -293,9 +294,12 @@
 			s.LastOK = f.sent
 		}
 	}
-	f.req.done(Reply{Status: status, Body: body, SentAt: f.sent})
+	f.req.done(Reply{Status: status, Body: body, SentAt: f.sent, Call: id})
 }
 
+// LastCall is the number of the last call that has left; later ones have larger numbers.
+func (s *Store) LastCall() uint64 { return s.nextID }
+
 // Unreachable tells that the state service has failed for a while: whoever needs
 // it should be told at once, and not after one more failure.
 func (s *Store) Unreachable() bool { return s.Down() && s.LastFail-s.LastOK > limits.DownAfter }
