Server: replies to the core before a fault are dropped

Cause: a fault in the core starts it afresh, and the new one counts its calls to the state service, the cloud and workers from 1. A reply that was still on its way to the one before passed for the reply to the present call of that number: a look-up could be answered by another question, records by a reading of long before.

Change: every reply carries the core that asked, and another core's is dropped.

--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -96,7 +96,7 @@
 	return *into, nil
 }
 
-func (s *Server) callPeer(x PeerCall) {
+func (s *Server) callPeer(x PeerCall, asker *Core) {
 	p := s.peers[x.Peer]
 	if p == nil {
 		return
@@ -105,5 +105,5 @@
 	if err != nil {
 		s.log.Debug("peer not reached", "peer", x.Peer, "error", err)
 	}
-	s.send(inboxEvent{in: PeerReply{Call: x, Answer: answer}})
+	s.send(inboxEvent{in: PeerReply{Call: x, Answer: answer}, asker: asker})
 }
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -23,6 +23,7 @@
 	answer   chan Answer
 	newInput func(ref uint64) Input
 	ctx      context.Context // of a user who may stop waiting; nil: none
+	asker    *Core           // the core whose call this is the reply to; nil: no reply
 }
 
 // Server is the loop that owns the core, and the sockets around it.
@@ -142,12 +143,19 @@
 
 // handle feeds one event to the core and does what it returns.
 func (s *Server) handle(e inboxEvent) {
+	// Guards against a reply to what the core asked before a fault: its successor counts its
+	// calls anew, and would take the reply for that to a call of its own.
+	if e.asker != nil && e.asker != s.core {
+		return
+	}
 	if e.newInput != nil {
 		s.ref++
 		s.refs[s.ref] = e.answer
 		e.in = e.newInput(s.ref)
 	}
-	for _, o := range s.step(e.in) {
+	outputs := s.step(e.in)
+	asker := s.core
+	for _, o := range outputs {
 		switch x := o.(type) {
 		case Answer:
 			if ch := s.refs[x.Ref]; ch != nil {
@@ -159,12 +167,12 @@
 		case StoreCall:
 			go func() {
 				status, body := s.request(s.state, s.set.External.State, x.Method, x.Path, x.Body, x.Timeout)
-				s.send(inboxEvent{in: StoreReply{x.ID, status, body}})
+				s.send(inboxEvent{in: StoreReply{x.ID, status, body}, asker: asker})
 			}()
 		case CloudCall:
 			go func() {
 				status, body := s.request(s.cloud, s.set.External.Cloud, x.Method, x.Path, x.Body, x.Timeout)
-				s.send(inboxEvent{in: CloudReply{x.ID, status, body}})
+				s.send(inboxEvent{in: CloudReply{x.ID, status, body}, asker: asker})
 			}()
 		case DirectCall:
 			go func() {
@@ -172,10 +180,10 @@
 				if s.now().Steady < x.Until {
 					status, body, unsent = s.requestTracked(s.workers, x.Address, "POST", "/orders", x.Body, limits.DirectTimeout)
 				}
-				s.send(inboxEvent{in: DirectReply{x.ID, status, body, unsent}})
+				s.send(inboxEvent{in: DirectReply{x.ID, status, body, unsent}, asker: asker})
 			}()
 		case PeerCall:
-			go s.callPeer(x)
+			go s.callPeer(x, asker)
 		}
 	}
 }
