--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -74,6 +74,8 @@
 	// peerReachedStoreAt is when a peer last reached the state service while we didn't.
 	peerReachedStoreAt time.Duration
 	nextUsageLog       time.Duration
+	storeReplies       replyTimes
+	nextKnowledgeLog   time.Duration
 	toldCounts         map[string][2]int
 	// cancelNotices are cancellations of which the owners of classes were not told yet.
 	cancelNotices map[string]map[string]bool
@@ -173,6 +175,7 @@
 		c.checkin(x)
 		return c.flush()
 	case StoreReply:
+		c.noteSlowReply(x)
 		c.store.Reply(t, x.ID, x.Status, x.Body)
 	case DirectReply:
 		c.directReplied(x)
@@ -236,6 +239,7 @@
 	c.jobs.Tick(t, c.now.Unix, may && len(c.active) > 0, func(j *jobs.Job) bool { return !j.Frozen })
 	c.messagePeers()
 	c.notifyOwners()
+	c.logKnowledge()
 	for _, call := range c.store.Tick(t) {
 		c.out = append(c.out, StoreCall{call})
 	}
--- a/internal/controller/scheduling.go
+++ b/internal/controller/scheduling.go
@@ -293,7 +293,8 @@
 	}
 	number := c.attempt(p.Machine.Class)
 	c.assign(j, task, jobs.Assignment{Machine: m.ID, Attempt: number, State: jobs.Planned})
-	c.log(slog.LevelDebug, "task placed", "job", j.ID, "task", task, "machine", m.ID, "attempt", number, "team", p.Team, "image", j.Image == "" || m.Images[j.Image])
+	c.log(slog.LevelDebug, "task placed", "job", j.ID, "task", task, "machine", m.ID, "attempt", number, "team", p.Team, "image", j.Image == "" || m.Images[j.Image],
+		"term", c.active[m.Class], "revision", c.store.Mirror.Revision, "cancellationsKnownS", c.cancellationsAge().Seconds())
 	noteFetch(m, j)
 	if len(c.plannedMachines) == 0 || c.plannedMachines[len(c.plannedMachines)-1] != m.ID {
 		c.plannedMachines = append(c.plannedMachines, m.ID)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -101,6 +101,11 @@
 	// DownAfter is for how long the state service must have failed before users are
 	// told so without trying.
 	DownAfter = time.Second
+	// SlowStore is how long a reply of the state service may take before it is logged as
+	// slow: normal ones take milliseconds.
+	SlowStore = 250 * time.Millisecond
+	// KnowledgeLogInterval is how often each node logs what it knows of the state service.
+	KnowledgeLogInterval = 10 * time.Second
 	// StoreBackoff spaces requests after a refusal.
 	StoreBackoff = 300 * time.Millisecond
 	// BudgetUse is the part of the request budget that the nodes use together,
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -172,6 +172,9 @@
 	return n.leader.Node == n.Name && n.leader.Inc == n.Inc && n.LeaseValid()
 }
 
+// Leader names the node that leads, as far as this node knows; empty: none.
+func (n *Node) Leader() string { return n.leader.Node }
+
 // Claims lists what this process owns, whether or not it may act right now.
 func (n *Node) Claims() map[string]*Claim { return n.claims }
 
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/url"
+	"strings"
 	"time"
 
 	"umberpaddle/internal/limits"
@@ -269,6 +270,25 @@
 	s.out = append(s.out, Call{ID: s.nextID, Method: r.method, Path: r.path, Body: r.body, Timeout: timeout})
 }
 
+// CallInfo tells of a call that is under way.
+type CallInfo struct {
+	Method string
+	Path   string
+	SentAt time.Duration
+}
+
+// IsWatch tells whether the call is a watch, which waits on purpose.
+func (c CallInfo) IsWatch() bool { return strings.HasPrefix(c.Path, "/watch") }
+
+// InFlight returns a call that is under way.
+func (s *Store) InFlight(id uint64) (CallInfo, bool) {
+	f, ok := s.inFlight[id]
+	if !ok {
+		return CallInfo{}, false
+	}
+	return CallInfo{Method: f.req.method, Path: f.req.path, SentAt: f.sent}, true
+}
+
 // Reply hands over what came of a call: its status, 0 for no answer.
 func (s *Store) Reply(now time.Duration, id uint64, status int, body []byte) {
 	if now > s.now {
