Tests: random faults on real processes, judged from a recording of all requests

Process clusters of the tests now have every link go through the simulated world or a proxy: users, workers, direct orders, the state service and the cloud of each controller apart, and each direction between two controllers. So a link can be cut in one direction, slow, or lose what it carries. The new test draws faults from a seed for 20 s: processes are killed and stopped, links cut, the state service is out, refuses a node, answers late, loses answers and carries transactions out late, machines hang, die, restart and hear nothing, reports and orders come late and again. Users submit each job at two nodes, cancel half at once and look at all nodes. Flags choose seeds and program; a failure names its seed and command.

Package history judges what users were told from outside: no answer may say less than one given before its request was sent, there is one end of a job, nothing is done before its tasks are, cancelled by nobody, invented or forgotten.

--- a/internal/controller/process_cluster_test.go
+++ b/internal/controller/process_cluster_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,6 +17,7 @@
 
 	"umberpaddle/internal/config"
 	"umberpaddle/internal/fleet"
+	"umberpaddle/internal/history"
 	"umberpaddle/internal/wire"
 )
 
@@ -27,6 +27,8 @@
 	mu    sync.Mutex
 	w     *simulation
 	start time.Time
+	// exchanges are all requests of users, with their answers.
+	exchanges []history.Exchange
 }
 
 func (r *liveSimulation) pump(stop chan struct{}) {
@@ -72,7 +74,7 @@
 }
 
 // remote makes a node of the world stand for a real process.
-func (r *liveSimulation) remote(addr string) func(in Input, answer func(int, []byte)) {
+func (r *liveSimulation) remote(label, addr string) func(in Input, answer func(int, []byte)) {
 	client := &http.Client{Timeout: 5 * time.Second}
 	return func(in Input, answer func(int, []byte)) {
 		method, path, body := "POST", "", []byte(nil)
@@ -91,6 +93,7 @@
 			if err != nil {
 				return
 			}
+			sent := time.Since(r.start)
 			resp, err := client.Do(req)
 			if err != nil {
 				return // no answer
@@ -98,6 +101,7 @@
 			defer resp.Body.Close()
 			b, err := io.ReadAll(resp.Body)
 			if err == nil {
+				r.record(label, in, sent, resp.StatusCode, b)
 				r.do(func() { answer(resp.StatusCode, b) })
 			}
 		}()
@@ -163,10 +167,7 @@
 	stop := make(chan struct{})
 	t.Cleanup(func() { close(stop) })
 	go r.pump(stop)
-	state := httptest.NewServer(r.handler(func(m, p string, b []byte, a func(int, []byte)) { r.w.store.serve(0, m, p, b, a) }))
-	t.Cleanup(state.Close)
-	cloud := httptest.NewServer(r.handler(func(m, p string, b []byte, a func(int, []byte)) { a(r.w.cloud.serve(m, p, b)) }))
-	t.Cleanup(cloud.Close)
+	r.w.addressOf = func(m *simMachine) string { return r.workerAddress(t, m) }
 	dir := t.TempDir()
 	for i := range size {
 		label := fmt.Sprintf("node-%d", i)
@@ -178,10 +179,10 @@
 		}
 	})
 	for i, p := range c.processes {
-		c.writeSettings(p, r.w.cfg, state.Listener.Addr().String(), cloud.Listener.Addr().String())
+		c.writeSettings(p, r.w.cfg, r.stateAddress(t, i, p.label), r.cloudAddress(t, p.label))
 		c.start(p, binary)
 		r.do(func() {
-			r.w.nodes = append(r.w.nodes, &simNode{w: r.w, idx: i, label: p.label, remote: r.remote(p.apiAddr)})
+			r.w.nodes = append(r.w.nodes, &simNode{w: r.w, idx: i, label: p.label, remote: r.remote(p.label, p.apiAddr)})
 		})
 	}
 	return c
@@ -194,7 +195,8 @@
 	set.Label, set.APIAddr, set.PeerBind = p.label, p.apiAddr, p.peerAddr
 	for _, other := range c.processes {
 		if other != p {
-			set.Others = append(set.Others, config.Peer{Label: other.label, Addr: other.peerAddr})
+			link := c.world.proxyPeer(c.t, p.label, other.label, other.peerAddr)
+			set.Others = append(set.Others, config.Peer{Label: other.label, Addr: link})
 		}
 	}
 	set.External.State, set.External.Cloud = state, cloud
--- /dev/null
+++ b/internal/controller/process_soak_test.go
@@ -0,0 +1,343 @@
+package controller
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"testing"
+	"time"
+
+	"umberpaddle/internal/history"
+	"umberpaddle/internal/wire"
+)
+
+// Days of the randomized fault test on real processes. To play one again:
+//
+//	go test ./internal/controller -run TestProcessesUnderRandomFaults -soak.first=SEED -soak.days=1 -v
+//
+// The seed draws the faults and their times; processes and sockets take their own time, so a
+// rare break may need several runs.
+var (
+	soakFirst  = flag.Uint64("soak.first", 1, "seed of the first day of the fault test on real processes")
+	soakDays   = flag.Uint64("soak.days", 2, "days of the fault test on real processes")
+	soakBinary = flag.String("soak.binary", "", "program that the fault test runs; empty: built from the sources")
+)
+
+const (
+	soakNodes    = 3
+	soakTroubles = 20 * time.Second // faults are drawn for so long
+	soakEvery    = 1200 * time.Millisecond
+	soakJobs     = 70
+)
+
+// soakConfig has short leases, so that they end within a day.
+func soakConfig() simConfig {
+	cfg := smallProcessConfig()
+	cfg.lease, cfg.cancel = 6, 20
+	return cfg
+}
+
+// TestProcessesUnderRandomFaults runs real controllers on loopback and draws faults from a seed:
+// processes are killed and stopped, links are cut in one direction or both, the state service is
+// slow, refuses nodes, loses answers and carries transactions out late, machines hang, die and
+// hear nothing, reports and orders come late and again. Users submit at several nodes, cancel at
+// once and look at all nodes. The rules are checked from outside.
+func TestProcessesUnderRandomFaults(t *testing.T) {
+	binary := *soakBinary
+	if binary == "" {
+		binary = buildPresentVersion(t)
+	}
+	for seed := *soakFirst; seed < *soakFirst+*soakDays; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playSoak(t, binary, seed)
+			if t.Failed() {
+				t.Logf("again: go test ./internal/controller -run TestProcessesUnderRandomFaults -soak.first=%d -soak.days=1 -v", seed)
+			}
+		})
+	}
+}
+
+func playSoak(t *testing.T, binary string, seed uint64) {
+	c := startProcessCluster(t, soakConfig(), binary, soakNodes)
+	c.waitFor("the first owner", func(w *simulation) bool { return w.store.keys["u/own/small"] != nil })
+	faults := &processFaults{c: c, rng: rand.New(rand.NewPCG(seed, 11)), log: t.Logf}
+	c.world.do(func() {
+		w := c.world.w
+		w.looks, w.copies, w.repeats, w.stray = true, 0.03, 0.03, 0.01
+		for i := range soakJobs {
+			w.schedule(time.Duration(faults.rng.Int64N(int64(soakTroubles))), func() { w.soakJob(fmt.Sprintf("job-%06d", i)) })
+		}
+	})
+	for end := time.Now().Add(soakTroubles); time.Now().Before(end); {
+		time.Sleep(time.Duration(faults.rng.Int64N(int64(2 * soakEvery))))
+		faults.draw()
+	}
+	faults.end()
+	c.waitForAllJobs("all jobs after the faults")
+	c.mustAllRun()
+	c.mustKeepHistory()
+}
+
+// soakJob is a job of one or two tasks, submitted at two nodes. Half are cancelled at once.
+func (w *simulation) soakJob(id string) {
+	j := w.user(id, spec([]string{"red", "blue"}[w.rng.IntN(2)], 1+w.rng.IntN(2), 1, 1.5), 1.5)
+	w.submitAgain(j)
+	if w.chance(0.5) {
+		w.cancelOnceAccepted(j)
+	}
+}
+
+// mustKeepHistory checks what users were told.
+func (c *processCluster) mustKeepHistory() {
+	c.t.Helper()
+	c.world.do(func() {
+		r := history.Recording{Exchanges: c.world.exchanges, Completed: map[string]time.Duration{}}
+		for id, j := range c.world.w.jobs {
+			if j.doneCount == j.tasks {
+				r.Completed[id] = j.completed
+			}
+		}
+		for _, v := range history.Check(r) {
+			c.t.Errorf("rule broken: %v", v)
+		}
+		c.t.Logf("%d requests of users, %d starts", len(r.Exchanges), c.world.w.starts)
+	})
+}
+
+// record notes an exchange of a user with a controller.
+func (r *liveSimulation) record(node string, in Input, sent time.Duration, status int, body []byte) {
+	e := history.Exchange{Node: node, SentAt: sent, AnsweredAt: time.Since(r.start), Status: status}
+	switch x := in.(type) {
+	case Submit:
+		s, err := wire.ParseSubmission(x.Body)
+		if err != nil {
+			return
+		}
+		e.Kind, e.Job = history.Submission, s.ID
+	case Query:
+		e.Kind, e.Job = history.Question, x.ID
+	case Cancel:
+		e.Kind, e.Job = history.Cancellation, x.ID
+	default:
+		return
+	}
+	var state wire.JobStatus
+	if status == 200 || status == 201 {
+		if err := wire.Decode(body, &state); err != nil {
+			r.do(func() { r.w.reportBroken("answer", "%s: %v", e.Job, err) })
+			return
+		}
+		e.State = state.Status
+	}
+	r.do(func() { r.exchanges = append(r.exchanges, e) })
+}
+
+// processFaults draws faults and ends them again.
+type processFaults struct {
+	c       *processCluster
+	rng     *rand.Rand
+	log     func(string, ...any)
+	pending []*endingFault
+}
+
+// endingFault is a fault that lasts until its end.
+type endingFault struct {
+	at  time.Time
+	end func()
+}
+
+// lasting ends a fault after a drawn time.
+func (f *processFaults) lasting(name string, least, most time.Duration, end func()) {
+	d := least + time.Duration(f.rng.Int64N(int64(most-least)))
+	f.log("%s for %.1f s", name, d.Seconds())
+	f.pending = append(f.pending, &endingFault{at: time.Now().Add(d), end: end})
+}
+
+// expire ends the faults whose time has come.
+func (f *processFaults) expire(all bool) {
+	kept := f.pending[:0]
+	for _, p := range f.pending {
+		if all || !time.Now().Before(p.at) {
+			p.end()
+		} else {
+			kept = append(kept, p)
+		}
+	}
+	f.pending = kept
+}
+
+// end ends all faults: from now on everything works.
+func (f *processFaults) end() {
+	f.expire(true)
+	f.c.world.do(func() {
+		w := f.c.world.w
+		w.looks, w.copies, w.repeats, w.stray, w.lag = false, 0, 0, 0, 0
+		w.calm = w.now
+	})
+}
+
+// draw begins one more fault.
+func (f *processFaults) draw() {
+	f.expire(false)
+	p := f.c.processes[f.rng.IntN(len(f.c.processes))]
+	switch f.rng.IntN(12) {
+	case 0:
+		f.killFor(p)
+	case 1:
+		f.killAll()
+	case 2, 3:
+		f.pause(p)
+	case 4:
+		f.cutState(p)
+	case 5:
+		f.cutPeer(p)
+	case 6:
+		f.cutWorkers(p)
+	case 7:
+		f.refuse(p)
+	case 8:
+		f.outage()
+	case 9, 10:
+		f.spoilAnswers()
+	case 11:
+		f.disturbMachine()
+	}
+}
+
+func (f *processFaults) killFor(p *controllerProcess) {
+	if p.command == nil {
+		return
+	}
+	binary := p.binary
+	f.c.kill(p)
+	f.lasting(p.label+" is killed", 100*time.Millisecond, 4*time.Second, func() { f.c.start(p, binary) })
+}
+
+func (f *processFaults) killAll() {
+	for _, p := range f.c.processes {
+		f.killFor(p)
+	}
+}
+
+// pause lets a process stand still while its clocks run on.
+func (f *processFaults) pause(p *controllerProcess) {
+	if p.command == nil {
+		return
+	}
+	stopped := p.command.Process
+	if err := stopped.Signal(syscall.SIGSTOP); err != nil {
+		f.c.t.Errorf("stop %s: %v", p.label, err)
+		return
+	}
+	// It may have been killed meanwhile; then there is nothing to continue.
+	f.lasting(p.label+" stands still", 200*time.Millisecond, 8*time.Second, func() { _ = stopped.Signal(syscall.SIGCONT) })
+}
+
+// cut holds back what a link carries, in one direction or both.
+func (f *processFaults) cut(name, a, b string, least, most time.Duration) {
+	w := f.c.world.w
+	there, back := true, true
+	switch f.rng.IntN(3) {
+	case 0:
+		there = false
+	case 1:
+		back = false
+	}
+	set := func(on bool) {
+		f.c.world.do(func() {
+			if there {
+				w.setOneWay(a, b, on)
+			}
+			if back {
+				w.setOneWay(b, a, on)
+			}
+		})
+	}
+	set(true)
+	f.lasting(fmt.Sprintf("%s is cut (%t, %t)", name, there, back), least, most, func() { set(false) })
+}
+
+func (f *processFaults) cutState(p *controllerProcess) {
+	f.cut(p.label+" and the state service", p.label, "state", 300*time.Millisecond, 8*time.Second)
+}
+
+func (f *processFaults) cutPeer(p *controllerProcess) {
+	other := f.c.processes[f.rng.IntN(len(f.c.processes))]
+	if other != p {
+		f.cut(p.label+" and "+other.label, p.label, other.label, 300*time.Millisecond, 8*time.Second)
+	}
+}
+
+// cutWorkers keeps all machines of the moment from a controller.
+func (f *processFaults) cutWorkers(p *controllerProcess) {
+	w := f.c.world.w
+	var ids []string
+	set := func(on bool) {
+		for _, id := range ids {
+			w.setCut(id, p.label, on)
+		}
+	}
+	f.c.world.do(func() {
+		ids = sortedKeys(w.machines)
+		set(true)
+	})
+	f.lasting(p.label+" and its workers are cut", 300*time.Millisecond, 9*time.Second, func() { f.c.world.do(func() { set(false) }) })
+}
+
+func (f *processFaults) refuse(p *controllerProcess) {
+	w, node := f.c.world.w, 0
+	for i, x := range f.c.processes {
+		if x == p {
+			node = i
+		}
+	}
+	f.c.world.do(func() { w.store.refuse[node] = true })
+	f.lasting("the state service refuses "+p.label, 300*time.Millisecond, 8*time.Second, func() {
+		f.c.world.do(func() {
+			w.store.refuse[node] = false
+			w.store.wake()
+		})
+	})
+}
+
+func (f *processFaults) outage() {
+	w := f.c.world.w
+	f.c.world.do(func() { w.store.setOutage(true) })
+	f.lasting("the state service is out", 300*time.Millisecond, 9*time.Second, func() { f.c.world.do(func() { w.store.setOutage(false) }) })
+}
+
+// spoilAnswers makes the state service answer late, not at all, or carry out late, and messages
+// slow.
+func (f *processFaults) spoilAnswers() {
+	w := f.c.world.w
+	held, late, unsaid, lag := 0.5*f.rng.Float64(), 0.2*f.rng.Float64(), 0.2*f.rng.Float64(), 0.2*f.rng.Float64()
+	f.c.world.do(func() { w.store.held, w.store.late, w.store.unsaid, w.lag = held, late, unsaid, lag })
+	f.lasting("the state service answers late, or not", 2*time.Second, 8*time.Second, func() {
+		f.c.world.do(func() { w.store.held, w.store.late, w.store.unsaid, w.lag = 0, 0, 0, 0 })
+	})
+}
+
+func (f *processFaults) disturbMachine() {
+	w, kind := f.c.world.w, f.rng.IntN(4)
+	seconds := 1 + 8*f.rng.Float64()
+	f.c.world.do(func() {
+		m := w.liveMachine()
+		if m == nil {
+			return
+		}
+		d := time.Duration(seconds * float64(time.Second))
+		switch kind {
+		case 0:
+			m.die()
+		case 1:
+			m.hang(d)
+		case 2:
+			w.deafen(m.id, true)
+			w.schedule(d, func() { w.deafen(m.id, false) })
+		case 3:
+			m.restart()
+		}
+	})
+}
--- a/internal/controller/simulation_store_test.go
+++ b/internal/controller/simulation_store_test.go
@@ -124,6 +124,15 @@
 	return out
 }
 
+// serveHeld carries a request out at once, and its answer may leave late.
+func (s *simStore) serveHeld(node int, method, path string, body []byte, answer func(int, []byte)) {
+	if s.held > 0 && s.w.chance(s.held) {
+		soon := answer
+		answer = func(status int, b []byte) { s.w.schedule(s.w.between(0.1, 1.2), func() { soon(status, b) }) }
+	}
+	s.serve(node, method, path, body, answer)
+}
+
 func (s *simStore) serve(node int, method, path string, body []byte, answer func(int, []byte)) {
 	s.expire()
 	u, err := url.Parse(path)
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -34,26 +34,28 @@
 	broken   []string // rules broken
 	starts   int
 
-	lag      float64 // most seconds that an ordinary message takes
-	copies   float64 // part of reports of which a copy comes late
-	keep     float64 // part of reports of which a copy is kept for the next owner
-	kept     []func(n *simNode)
-	newest   uint64                                                  // the highest term that anybody acted on
-	memory   bool                                                    // nodes answer questions from what they remember, which is wrong
-	sharing  bool                                                    // nodes let a repeated submission share the answer of the one before, which is wrong
-	looks    bool                                                    // users look at all nodes after each thing they were told
-	atEnd    float64                                                 // part of jobs that are called off as their last task ends
-	gossip   func(from *simNode, m *PeerMessage, a *PeerAnswer) bool // may change or drop what peers say
-	calm     time.Duration                                           // when all troubles are over; 0: not yet known
-	cached   bool                                                    // machines have every image
-	stray    float64                                                 // part of orders that come seconds to leases late
-	repeats  float64                                                 // part of orders that come twice
-	slow     float64                                                 // part of messages that take long
-	lost     float64                                                 // part of messages that are lost
-	cut      map[[2]string]bool                                      // links that hold packets back
-	held     map[[2]string][]func()
-	trace    func(string, ...any)
-	sabotage func(*Core) // breaks a core on purpose, to see the rules catch it
+	lag     float64 // most seconds that an ordinary message takes
+	copies  float64 // part of reports of which a copy comes late
+	keep    float64 // part of reports of which a copy is kept for the next owner
+	kept    []func(n *simNode)
+	newest  uint64                                                  // the highest term that anybody acted on
+	memory  bool                                                    // nodes answer questions from what they remember, which is wrong
+	sharing bool                                                    // nodes let a repeated submission share the answer of the one before, which is wrong
+	looks   bool                                                    // users look at all nodes after each thing they were told
+	atEnd   float64                                                 // part of jobs that are called off as their last task ends
+	gossip  func(from *simNode, m *PeerMessage, a *PeerAnswer) bool // may change or drop what peers say
+	calm    time.Duration                                           // when all troubles are over; 0: not yet known
+	cached  bool                                                    // machines have every image
+	stray   float64                                                 // part of orders that come seconds to leases late
+	repeats float64                                                 // part of orders that come twice
+	slow    float64                                                 // part of messages that take long
+	lost    float64                                                 // part of messages that are lost
+	cut     map[[2]string]bool                                      // links that hold packets back
+	held    map[[2]string][]func()
+	trace   func(string, ...any)
+	// addressOf gives a new machine an address of its own, for direct orders over real sockets.
+	addressOf func(m *simMachine) string
+	sabotage  func(*Core) // breaks a core on purpose, to see the rules catch it
 }
 
 type simConfig struct {
@@ -460,11 +462,7 @@
 func (n *simNode) callStore(x StoreCall) {
 	body, step := pack(x.Body), n.later()
 	n.w.call(n.label, "state", x.Timeout, func(answer func(int, []byte)) {
-		if n.w.store.held > 0 && n.w.chance(n.w.store.held) {
-			soon := answer
-			answer = func(status int, b []byte) { n.w.schedule(n.w.between(0.1, 1.2), func() { soon(status, b) }) }
-		}
-		n.w.schedule(n.w.between(0, n.w.store.slow), func() { n.w.store.serve(n.idx, x.Method, x.Path, body, answer) })
+		n.w.schedule(n.w.between(0, n.w.store.slow), func() { n.w.store.serveHeld(n.idx, x.Method, x.Path, body, answer) })
 	}, func(status int, b []byte) { step(StoreReply{x.ID, status, b}) })
 }
 
--- a/internal/controller/simulation_users_test.go
+++ b/internal/controller/simulation_users_test.go
@@ -19,6 +19,7 @@
 	bad       bool
 	done      map[int]bool
 	doneCount int
+	completed time.Duration // when its last task was done
 	accepted  bool
 	told      wire.JobState // final state that was told
 	gang      bool
--- a/internal/controller/simulation_workers_test.go
+++ b/internal/controller/simulation_workers_test.go
@@ -86,7 +86,11 @@
 func (c *simCloud) create(k fleet.Kind) *simMachine {
 	c.count++
 	c.left[k]--
-	m := &simMachine{w: c.w, id: fmt.Sprintf("i-%06d", c.count), kind: k, born: c.w.now, tasks: map[string]*simTask{}, session: 1}
+	id := fmt.Sprintf("i-%06d", c.count)
+	m := &simMachine{w: c.w, id: id, address: id, kind: k, born: c.w.now, tasks: map[string]*simTask{}, session: 1}
+	if c.w.addressOf != nil {
+		m.address = c.w.addressOf(m)
+	}
 	c.w.machines[m.id] = m
 	c.w.created = append(c.w.created, m)
 	never, slow := c.never, c.slow
@@ -113,6 +117,7 @@
 type simMachine struct {
 	w        *simulation
 	id       string
+	address  string // where direct orders reach it
 	kind     fleet.Kind
 	born     time.Duration
 	up, gone bool
@@ -219,7 +224,7 @@
 
 func (m *simMachine) message() *wire.Report {
 	m.seq++
-	r := &wire.Report{Machine: m.id, Address: m.id, Type: m.kind.Class, Zone: m.kind.Zone, Spot: m.kind.Spot, Session: m.session, Seq: m.seq, Token: m.token, Tasks: []wire.TaskReport{}}
+	r := &wire.Report{Machine: m.id, Address: m.address, Type: m.kind.Class, Zone: m.kind.Zone, Spot: m.kind.Spot, Session: m.session, Seq: m.seq, Token: m.token, Tasks: []wire.TaskReport{}}
 	if m.recall > 0 {
 		s := (m.recall - m.w.now).Seconds()
 		r.RecallS = &s
@@ -421,6 +426,7 @@
 				if !j.done[n] {
 					j.done[n] = true
 					j.doneCount++
+					j.completed = w.now
 					if j.doneCount == j.tasks && w.chance(w.atEnd) {
 						w.cancel(j)
 					}
