Tests: ports of their own for controllers; requests without an answer are recorded

With sixteen clusters at once a stand-in's listener could get the port of a controller that had not started yet, and answered its users with 400; ports now come from below the system's own range, each once. The recording left requests without an answer out, so that a cancellation whose answer was lost passed for one that nobody asked for.

--- a/internal/controller/process_cluster_test.go
+++ b/internal/controller/process_cluster_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,28 +95,52 @@
 				return
 			}
 			sent := time.Since(r.start)
-			resp, err := client.Do(req)
-			if err != nil {
-				return // no answer
-			}
-			defer resp.Body.Close()
-			b, err := io.ReadAll(resp.Body)
-			if err == nil {
-				r.record(label, in, sent, resp.StatusCode, b)
-				r.do(func() { answer(resp.StatusCode, b) })
+			status, b := exchange(client, req)
+			r.record(label, in, sent, status, b)
+			if status != 0 {
+				r.do(func() { answer(status, b) })
 			}
 		}()
 	}
 }
 
+// exchange makes a request; status 0 is no answer.
+func exchange(client *http.Client, req *http.Request) (status int, body []byte) {
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	body, err = io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, body
+}
+
+// The ports that freeAddr gives out lie below those that the system takes for sockets of its
+// own choice. Guards against a stand-in's listener on the port of a controller that had not
+// started yet, or was killed: it answered the controller's users.
+const (
+	firstTestPort = 20000
+	testPorts     = 12000
+)
+
+var portsGivenOut atomic.Int64
+
+// freeAddr returns an address on loopback that nobody else gets while the tests run.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range testPorts {
+		n := int64(os.Getpid())*131 + portsGivenOut.Add(1) // test programs that run beside this one begin elsewhere
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", firstTestPort+n%testPorts))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // controllerProcess is one controller, run as a real process.
