--- a/internal/jobs/answers.go
+++ b/internal/jobs/answers.go
@@ -33,8 +33,8 @@
 	answered     bool
 }
 
-func (b *Registry) newWaiter(job string, wait time.Duration, reply func(Answer)) *waiter {
-	return &waiter{job: job, arrivedAfter: b.store.LastCall(), until: b.now + wait, reply: reply}
+func (r *Registry) newWaiter(job string, wait time.Duration, reply func(Answer)) *waiter {
+	return &waiter{job: job, arrivedAfter: r.store.LastCall(), until: r.now + wait, reply: reply}
 }
 
 // answer gives an answer that says nothing about where the job stands, or its final state,
@@ -58,18 +58,18 @@
 // job, if this node has learned it meanwhile, is told instead; and what was read before the
 // request came is withheld. Callers read anew for whom a reading doesn't cover, so a withheld
 // answer is a fault of this program.
-func (b *Registry) answerFrom(r reading, w *waiter, a Answer) {
-	if final, ok := b.finals[w.job]; ok {
+func (r *Registry) answerFrom(read reading, w *waiter, a Answer) {
+	if final, ok := r.finals[w.job]; ok {
 		w.answer(finalAnswer(w.job, final))
 		return
 	}
-	if !r.covers(w) {
-		b.WithheldAnswers++
-		b.log(slog.LevelError, "answer withheld: read before its request came", "job", w.job, "call", r.call, "arrivedAfter", w.arrivedAfter)
+	if !read.covers(w) {
+		r.WithheldAnswers++
+		r.log(slog.LevelError, "answer withheld: read before its request came", "job", w.job, "call", read.call, "arrivedAfter", w.arrivedAfter)
 		w.answer(RetryLater())
 		return
 	}
-	b.log(slog.LevelDebug, "job state told", "job", w.job, "status", a.Status, "call", r.call, "arrivedAfter", w.arrivedAfter, "revision", b.store.Mirror.Revision)
+	r.log(slog.LevelDebug, "job state told", "job", w.job, "status", a.Status, "call", read.call, "arrivedAfter", w.arrivedAfter, "revision", r.store.Mirror.Revision)
 	w.answer(a)
 }
 
--- /dev/null
+++ b/internal/jobs/cancellations.go
@@ -0,0 +1,108 @@
+package jobs
+
+import (
+	"log/slog"
+	"sort"
+	"time"
+
+	"umberpaddle/internal/limits"
+	"umberpaddle/internal/statestore"
+	"umberpaddle/internal/wire"
+)
+
+// Cancel cancels a job unless it is over.
+func (r *Registry) Cancel(now time.Duration, id string, answer func(Answer)) {
+	r.now = max(r.now, now)
+	r.lookUp(&lookup{waiter: r.newWaiter(id, limits.SubmitWait, answer), cancel: true})
+}
+
+// readOpen finds the version of a job that the mirror doesn't have yet.
+func (r *Registry) readOpen(a *lookup) {
+	r.store.Get(statestore.User, limits.PollWait, keyJob+a.job, func(reply statestore.Reply) {
+		var row wire.Row
+		if reply.Status != statestore.OK || wire.Decode(reply.Body, &row) != nil {
+			a.answer(RetryLater())
+			return
+		}
+		r.cancel(a, row.Version)
+	})
+}
+
+func (r *Registry) cancel(a *lookup, version uint64) {
+	done := 0
+	if j := r.Open[a.job]; j != nil {
+		done = max(j.DoneCount, j.displayDone)
+	}
+	f := finalState{Status: wire.StatusCancelled, Done: done}
+	t := wire.Txn{
+		Guards: []wire.Guard{{Key: keyJob + a.job, Version: version}, {Key: keyFinal + a.job}},
+		Then:   []wire.Op{{Key: keyFinal + a.job, Value: f}, {Key: keyCancelled + a.job, Value: true}}}
+	r.store.Txn(statestore.User, limits.SubmitWait, t, func(reply statestore.Reply) {
+		switch reply.Status {
+		case statestore.OK:
+			r.cacheFinal(a.job, f)
+			a.answer(finalAnswer(a.job, f))
+		case statestore.Conflict:
+			r.readFinal(a)
+		default:
+			a.answer(RetryLater())
+		}
+	})
+}
+
+func (r *Registry) markCancelled(id string) bool {
+	j := r.Open[id]
+	if j == nil || j.Cancelled {
+		return false
+	}
+	j.Cancelled, j.CancelledAt = true, r.now
+	r.log(slog.LevelInfo, "job cancelled", "job", id)
+	return true
+}
+
+// MergeCancellations takes in cancellations of which a peer knows that they are recorded. It tells
+// whether any of them is new to this node.
+func (r *Registry) MergeCancellations(now time.Duration, ids []string) (news bool) {
+	r.now = max(r.now, now)
+	for _, id := range ids {
+		j := r.Open[id]
+		news = news || j != nil && !j.Cancelled
+		if _, ok := r.finals[id]; !ok {
+			f := finalState{Status: wire.StatusCancelled}
+			if j != nil {
+				f.Done = max(j.DoneCount, j.displayDone)
+			}
+			r.cacheFinal(id, f)
+		}
+		r.markCancelled(id)
+	}
+	return news
+}
+
+// Cancellations lists the cancelled jobs that this node knows of and that may still
+// have tasks, with those that it told a user of lately.
+func (r *Registry) Cancellations() []string {
+	var ids []string
+	for id, j := range r.Open {
+		if _, told := r.confirmedCancels[id]; j.Cancelled && !told {
+			ids = append(ids, id)
+		}
+	}
+	for id, at := range r.confirmedCancels {
+		if r.now-at > limits.CancelNoticeFor {
+			delete(r.confirmedCancels, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// TakeNewCancellations lists the cancellations that became known here, by an answer to a user or by a
+// peer, since the last call.
+func (r *Registry) TakeNewCancellations() []string {
+	ids := r.newCancels
+	r.newCancels = nil
+	return ids
+}
--- a/internal/jobs/done_sets.go
+++ b/internal/jobs/done_sets.go
@@ -18,15 +18,15 @@
 }
 
 // applyDone follows the record of a job with few tasks.
-func (b *Registry) applyDone(id, _ string, value msgpack.RawMessage, gone bool) {
-	delete(b.orphanRecords, id)
-	j := b.Open[id]
+func (r *Registry) applyDone(id, _ string, value msgpack.RawMessage, gone bool) {
+	delete(r.orphanRecords, id)
+	j := r.Open[id]
 	var text string
-	if gone || wire.Decode(value, &text) != nil || b.finalized[id] != nil {
+	if gone || wire.Decode(value, &text) != nil || r.finalized[id] != nil {
 		return
 	}
 	if j == nil {
-		b.orphanRecords[id] = true
+		r.orphanRecords[id] = true
 		return
 	}
 	j.launched = true
@@ -35,43 +35,43 @@
 }
 
 // IsDoneSet tells whether a key holds done sets.
-func (b *Registry) IsDoneSet(key string) bool {
+func (r *Registry) IsDoneSet(key string) bool {
 	return strings.HasPrefix(key, keyDoneSets) || strings.HasPrefix(key, keyLargePart) || strings.HasPrefix(key, keyPart)
 }
 
 // DropPending drops what was to be written as owner of a class.
-func (b *Registry) DropPending(class string) {
-	b.doneSets.Forget(class)
-	for _, j := range b.Open {
+func (r *Registry) DropPending(class string) {
+	r.doneSets.Forget(class)
+	for _, j := range r.Open {
 		if j.GuardClass == class {
 			j.recordRequested = false
 		}
 	}
 }
 
-func (b *Registry) markOrphan(key string) {
-	if _, ok := b.store.Mirror.Get(key); ok {
-		b.orphanParts[key] = true
+func (r *Registry) markOrphan(key string) {
+	if _, ok := r.store.Mirror.Get(key); ok {
+		r.orphanParts[key] = true
 	}
 }
 
 // removeOrphans removes parts of done sets whose job is over: they did not fit into the
 // transaction that ended it.
-func (b *Registry) removeOrphans() {
-	for id := range b.orphanRecords {
-		b.doneSets.Remove(id, limits.PageDelay)
+func (r *Registry) removeOrphans() {
+	for id := range r.orphanRecords {
+		r.doneSets.Remove(id, limits.PageDelay)
 	}
-	if len(b.orphanParts) == 0 || b.removingOrphans {
+	if len(r.orphanParts) == 0 || r.removingOrphans {
 		return
 	}
 	var t wire.Txn
-	for _, key := range slices.Sorted(maps.Keys(b.orphanParts)) {
-		e, ok := b.store.Mirror.Get(key)
+	for _, key := range slices.Sorted(maps.Keys(r.orphanParts)) {
+		e, ok := r.store.Mirror.Get(key)
 		if !ok {
-			delete(b.orphanParts, key)
+			delete(r.orphanParts, key)
 			continue
 		}
-		if len(t.Then) < b.store.MaxWrites() {
+		if len(t.Then) < r.store.MaxWrites() {
 			t.Guards = append(t.Guards, wire.Guard{Key: key, Version: e.Version})
 			t.Then = append(t.Then, wire.Op{Remove: key})
 		}
@@ -79,13 +79,13 @@
 	if len(t.Then) == 0 {
 		return
 	}
-	b.removingOrphans = true
-	b.store.Txn(statestore.Progress, limits.StoreTimeout*2, t, func(statestore.Reply) { b.removingOrphans = false })
+	r.removingOrphans = true
+	r.store.Txn(statestore.Progress, limits.StoreTimeout*2, t, func(statestore.Reply) { r.removingOrphans = false })
 }
 
 // Prepare writes the mark that a job's tasks may be running, before the first
 // launch. It is done once Prepared is set.
-func (b *Registry) Prepare(j *Job) {
+func (r *Registry) Prepare(j *Job) {
 	switch {
 	case j.Launched():
 		j.Prepared = true
@@ -94,20 +94,20 @@
 			j.recordRequested = true
 			// Guards against jobs that waited for one change each, one after the other,
 			// when many small ones came.
-			wait := min(b.store.WriteWait(statestore.Finish), limits.PrepareWait)
-			b.doneSets.SetUrgent(j.GuardClass, j.ID, j.Done.chunk(0, limits.ChunkTasks), wait)
+			wait := min(r.store.WriteWait(statestore.Finish), limits.PrepareWait)
+			r.doneSets.SetUrgent(j.GuardClass, j.ID, j.Done.chunk(0, limits.ChunkTasks), wait)
 		}
 	case !j.writing:
-		b.writePart(j, 0, statestore.Roster)
+		r.writePart(j, 0, statestore.Roster)
 	}
 }
 
 // writePart writes part k of a done set. As long as a node may run a version that reads
 // only the larger parts, those are written.
-func (b *Registry) writePart(j *Job, k int, prio statestore.Priority) {
+func (r *Registry) writePart(j *Job, k int, prio statestore.Priority) {
 	j.writing = true
 	prefix, tasks, first := keyPart, limits.ChunkTasks, k
-	if b.format() < 2 {
+	if r.format() < 2 {
 		prefix, tasks = keyLargePart, limits.OldChunkTasks
 		first = k * limits.ChunkTasks / tasks
 	}
@@ -121,12 +121,12 @@
 		}
 	}
 	t := wire.Txn{
-		Guards: []wire.Guard{b.guard(j.GuardClass), {Key: keyJob + j.ID, Version: j.version}, {Key: key, Version: j.parts[key]}},
+		Guards: []wire.Guard{r.guard(j.GuardClass), {Key: keyJob + j.ID, Version: j.version}, {Key: key, Version: j.parts[key]}},
 		Then:   []wire.Op{{Key: key, Value: donePart{Done: text}}}}
-	b.store.Txn(prio, limits.StoreTimeout*2, t, func(r statestore.Reply) {
+	r.store.Txn(prio, limits.StoreTimeout*2, t, func(reply statestore.Reply) {
 		j.writing = false
 		var tr wire.TxnReply
-		if r.Status == statestore.OK && wire.Decode(r.Body, &tr) == nil {
+		if reply.Status == statestore.OK && wire.Decode(reply.Body, &tr) == nil {
 			j.parts[key] = max(j.parts[key], tr.Revision)
 			j.durable.merge(first, tasks, text, j.Tasks)
 			if k == 0 {
@@ -137,6 +137,6 @@
 		for _, n := range of { // the mirror brings the version if it was applied after all
 			j.dirty[n] = true
 		}
-		b.flushAt[j.ID] = b.now + limits.StoreBackoff
+		r.flushAt[j.ID] = r.now + limits.StoreBackoff
 	})
 }
--- a/internal/jobs/final_states.go
+++ b/internal/jobs/final_states.go
@@ -19,21 +19,21 @@
 
 // finalize removes a job, writing its final state first unless status is empty.
 // Done against cancelled is decided here: both need fin/ID to be absent.
-func (b *Registry) finalize(j *Job, status wire.JobState) {
+func (r *Registry) finalize(j *Job, status wire.JobState) {
 	j.closing = true
-	t, prio, removeLater := b.finalTxn(j, status)
-	b.store.Txn(prio, limits.StoreTimeout*2, t, func(r statestore.Reply) {
+	t, prio, removeLater := r.finalTxn(j, status)
+	r.store.Txn(prio, limits.StoreTimeout*2, t, func(reply statestore.Reply) {
 		j.closing = false
-		b.flushAt[j.ID] = b.now + limits.StoreBackoff
-		if r.Status == statestore.OK {
+		r.flushAt[j.ID] = r.now + limits.StoreBackoff
+		if reply.Status == statestore.OK {
 			j.closing = true
-			b.finalWritten(j, status, removeLater)
+			r.finalWritten(j, status, removeLater)
 			return
 		}
 		// An earlier owner may have written the end, and not have come to clean up.
 		var tr wire.TxnReply
-		if r.Status == statestore.Conflict && status != "" && wire.Decode(r.Body, &tr) == nil && slices.Contains(tr.Failed, keyFinal+j.ID) {
-			b.readOwnFinal(j)
+		if reply.Status == statestore.Conflict && status != "" && wire.Decode(reply.Body, &tr) == nil && slices.Contains(tr.Failed, keyFinal+j.ID) {
+			r.readOwnFinal(j)
 		}
 	})
 }
@@ -41,8 +41,8 @@
 // finalTxn is the transaction that ends a job. The record of a small job goes later, with
 // others': a completion costs one change while changes are scarce. Until then its done set
 // stays, too.
-func (b *Registry) finalTxn(j *Job, status wire.JobState) (t wire.Txn, prio statestore.Priority, removeLater bool) {
-	t.Guards = []wire.Guard{b.guard(j.GuardClass), {Key: keyJob + j.ID, Version: j.version}}
+func (r *Registry) finalTxn(j *Job, status wire.JobState) (t wire.Txn, prio statestore.Priority, removeLater bool) {
+	t.Guards = []wire.Guard{r.guard(j.GuardClass), {Key: keyJob + j.ID, Version: j.version}}
 	prio = statestore.Progress
 	if status != "" {
 		prio = statestore.Finish
@@ -59,7 +59,7 @@
 	// Parts that don't fit into the transaction are swept later: without the
 	// job they mean nothing.
 	for _, key := range slices.Sorted(maps.Keys(j.parts)) {
-		if !removeLater && len(t.Then) < b.store.TxnOps {
+		if !removeLater && len(t.Then) < r.store.TxnOps {
 			t.Then = append(t.Then, wire.Op{Remove: key})
 		}
 	}
@@ -67,58 +67,58 @@
 }
 
 // finalWritten takes note that a job's end is in the state service.
-func (b *Registry) finalWritten(j *Job, status wire.JobState, removeLater bool) {
+func (r *Registry) finalWritten(j *Job, status wire.JobState, removeLater bool) {
 	if status != "" {
-		b.cacheFinal(j.ID, finalState{Status: status, Done: j.DoneCount})
-		b.log(slog.LevelInfo, "job over", "job", j.ID, "class", j.Class, "status", status, "tasks", j.Tasks,
-			"tookS", math.Round(10*(b.unixTime-j.SubmitUnix))/10, "dueS", j.DeadlineS, "estimateS", j.EstimateS)
+		r.cacheFinal(j.ID, finalState{Status: status, Done: j.DoneCount})
+		r.log(slog.LevelInfo, "job over", "job", j.ID, "class", j.Class, "status", status, "tasks", j.Tasks,
+			"tookS", math.Round(10*(r.unixTime-j.SubmitUnix))/10, "dueS", j.DeadlineS, "estimateS", j.EstimateS)
 	}
 	if removeLater {
-		b.awaitRemoval(j)
+		r.awaitRemoval(j)
 	} else {
-		b.forget(j.ID)
+		r.forget(j.ID)
 	}
 }
 
 // readOwnFinal reads the end that another owner wrote for a job of ours.
-func (b *Registry) readOwnFinal(j *Job) {
-	b.store.Get(statestore.Finish, limits.PollWait, keyFinal+j.ID, func(r statestore.Reply) {
-		f, ok := decodeFinal(r)
-		if ok && f.Status == wire.StatusDone && b.Open[j.ID] == j && len(j.Assigned) == 0 {
-			b.cacheFinal(j.ID, f)
-			b.awaitRemoval(j)
+func (r *Registry) readOwnFinal(j *Job) {
+	r.store.Get(statestore.Finish, limits.PollWait, keyFinal+j.ID, func(reply statestore.Reply) {
+		f, ok := decodeFinal(reply)
+		if ok && f.Status == wire.StatusDone && r.Open[j.ID] == j && len(j.Assigned) == 0 {
+			r.cacheFinal(j.ID, f)
+			r.awaitRemoval(j)
 		}
 	})
 }
 
 // decodeFinal reads the answer to a question for a final state.
-func decodeFinal(r statestore.Reply) (f finalState, ok bool) {
+func decodeFinal(reply statestore.Reply) (f finalState, ok bool) {
 	var row wire.Row
-	ok = r.Status == statestore.OK && wire.Decode(r.Body, &row) == nil && wire.Decode(row.Value, &f) == nil && f.Status != ""
+	ok = reply.Status == statestore.OK && wire.Decode(reply.Body, &row) == nil && wire.Decode(row.Value, &f) == nil && f.Status != ""
 	return f, ok
 }
 
 // awaitRemoval puts a job whose end is written aside until its record is removed.
-func (b *Registry) awaitRemoval(j *Job) {
-	delete(b.Open, j.ID)
-	delete(b.flushAt, j.ID)
-	b.finalized[j.ID] = j
+func (r *Registry) awaitRemoval(j *Job) {
+	delete(r.Open, j.ID)
+	delete(r.flushAt, j.ID)
+	r.finalized[j.ID] = j
 }
 
 // removeFinalizedRecords removes the records of jobs that are over, many in one transaction. No owner's
 // guard is needed: an end that is written stays.
-func (b *Registry) removeFinalizedRecords() {
-	if b.removingFinalized || len(b.finalized) == 0 || !b.store.CanSpare(1) {
+func (r *Registry) removeFinalizedRecords() {
+	if r.removingFinalized || len(r.finalized) == 0 || !r.store.CanSpare(1) {
 		return
 	}
 	var t wire.Txn
-	for _, id := range slices.Sorted(maps.Keys(b.finalized)) {
-		e, ok := b.store.Mirror.Get(keyJob + id)
+	for _, id := range slices.Sorted(maps.Keys(r.finalized)) {
+		e, ok := r.store.Mirror.Get(keyJob + id)
 		if !ok {
-			delete(b.finalized, id)
+			delete(r.finalized, id)
 			continue
 		}
-		if len(t.Then) < b.store.MaxWrites() {
+		if len(t.Then) < r.store.MaxWrites() {
 			t.Guards = append(t.Guards, wire.Guard{Key: keyJob + id, Version: e.Version})
 			t.Then = append(t.Then, wire.Op{Remove: keyJob + id})
 		}
@@ -126,31 +126,31 @@
 	if len(t.Then) == 0 {
 		return
 	}
-	b.removingFinalized = true
-	b.store.Txn(statestore.Progress, limits.StoreTimeout*2, t, func(statestore.Reply) { b.removingFinalized = false })
+	r.removingFinalized = true
+	r.store.Txn(statestore.Progress, limits.StoreTimeout*2, t, func(statestore.Reply) { r.removingFinalized = false })
 }
 
 // forget forgets a job that is over; its record goes with the next batch.
-func (b *Registry) forget(id string) {
-	if j := b.Open[id]; j != nil && j.launched {
-		b.orphanRecords[id] = true
+func (r *Registry) forget(id string) {
+	if j := r.Open[id]; j != nil && j.launched {
+		r.orphanRecords[id] = true
 	}
-	delete(b.Open, id)
-	delete(b.flushAt, id)
+	delete(r.Open, id)
+	delete(r.flushAt, id)
 }
 
-func (b *Registry) cacheFinal(id string, f finalState) {
-	if _, ok := b.finals[id]; !ok {
+func (r *Registry) cacheFinal(id string, f finalState) {
+	if _, ok := r.finals[id]; !ok {
 		if f.Status == wire.StatusCancelled {
-			b.confirmedCancels[id] = b.now
-			b.newCancels = append(b.newCancels, id)
-			b.markCancelled(id)
+			r.confirmedCancels[id] = r.now
+			r.newCancels = append(r.newCancels, id)
+			r.markCancelled(id)
 		}
-		b.finalOrder = append(b.finalOrder, id)
-		if len(b.finalOrder) > limits.FinalCache {
-			delete(b.finals, b.finalOrder[0])
-			b.finalOrder = b.finalOrder[1:]
+		r.finalOrder = append(r.finalOrder, id)
+		if len(r.finalOrder) > limits.FinalCache {
+			delete(r.finals, r.finalOrder[0])
+			r.finalOrder = r.finalOrder[1:]
 		}
 	}
-	b.finals[id] = f
+	r.finals[id] = f
 }
--- a/internal/jobs/registry.go
+++ b/internal/jobs/registry.go
@@ -75,55 +75,55 @@
 	format func() int
 }
 
-// New makes an empty book.
+// New makes an empty registry.
 func New(store *statestore.Store, guard func(class string) wire.Guard, format func() int, log func(slog.Level, string, ...any)) *Registry {
-	b := &Registry{store: store, guard: guard, format: format, log: log, Open: map[string]*Job{}, finals: map[string]finalState{}, confirmedCancels: map[string]time.Duration{}, submissionsByID: map[string]*submission{},
+	r := &Registry{store: store, guard: guard, format: format, log: log, Open: map[string]*Job{}, finals: map[string]finalState{}, confirmedCancels: map[string]time.Duration{}, submissionsByID: map[string]*submission{},
 		flushAt: map[string]time.Duration{}, orphanParts: map[string]bool{}, orphanRecords: map[string]bool{}, finalized: map[string]*Job{}}
-	b.doneSets = statestore.NewRecordTable(store, keyDoneSets, guard, b.applyDone)
-	return b
+	r.doneSets = statestore.NewRecordTable(store, keyDoneSets, guard, r.applyDone)
+	return r
 }
 
 // Apply follows a change of the mirror.
-func (b *Registry) Apply(c statestore.Change) {
-	b.doneSets.Apply(c)
+func (r *Registry) Apply(c statestore.Change) {
+	r.doneSets.Apply(c)
 	switch {
 	case strings.HasPrefix(c.Key, keyJob):
-		b.applyJob(c.Key[len(keyJob):], c)
+		r.applyJob(c.Key[len(keyJob):], c)
 	case strings.HasPrefix(c.Key, keyCancelled):
 		if !c.Removed {
-			b.markCancelled(c.Key[len(keyCancelled):])
+			r.markCancelled(c.Key[len(keyCancelled):])
 		}
 	case strings.HasPrefix(c.Key, keyLargePart):
-		b.applyPart(c, limits.OldChunkTasks)
+		r.applyPart(c, limits.OldChunkTasks)
 	case strings.HasPrefix(c.Key, keyPart):
-		b.applyPart(c, limits.ChunkTasks)
+		r.applyPart(c, limits.ChunkTasks)
 	}
 }
 
 // applyJob follows a change of a job's record.
-func (b *Registry) applyJob(id string, c statestore.Change) {
+func (r *Registry) applyJob(id string, c statestore.Change) {
 	if c.Removed {
-		b.jobRemoved(id)
+		r.jobRemoved(id)
 		return
 	}
 	spec := &wire.Job{}
 	if err := wire.Decode(c.Entry.Value, spec); err != nil || spec.Tasks < 1 || spec.Tasks > limits.MaxTasks {
-		b.log(slog.LevelError, "unreadable job record", "job", id)
+		r.log(slog.LevelError, "unreadable job record", "job", id)
 		return
 	}
-	if b.Open[id] != nil || b.finalized[id] != nil {
+	if r.Open[id] != nil || r.finalized[id] != nil {
 		return
 	}
 	j := newJob(spec, c.Entry.Version)
-	b.Open[id] = j
-	if v, ok := b.doneSets.Stored(id); ok {
-		b.applyDone(id, "", v, false)
+	r.Open[id] = j
+	if v, ok := r.doneSets.Stored(id); ok {
+		r.applyDone(id, "", v, false)
 	}
 	// Keys sort so that c/ comes before o/: a mark read earlier counts now. Or users or a
 	// peer told of the cancellation before the record came.
-	_, marked := b.store.Mirror.Get(keyCancelled + id)
-	if marked || b.finals[id].Status == wire.StatusCancelled {
-		j.Cancelled, j.CancelledAt = true, b.now
+	_, marked := r.store.Mirror.Get(keyCancelled + id)
+	if marked || r.finals[id].Status == wire.StatusCancelled {
+		j.Cancelled, j.CancelledAt = true, r.now
 	}
 }
 
@@ -151,31 +151,31 @@
 }
 
 // jobRemoved follows the removal of a job's record.
-func (b *Registry) jobRemoved(id string) {
-	if j := b.Open[id]; j != nil {
+func (r *Registry) jobRemoved(id string) {
+	if j := r.Open[id]; j != nil {
 		// Parts that went in the same transaction follow at once.
 		for key := range j.parts {
-			b.markOrphan(key)
+			r.markOrphan(key)
 		}
 	}
-	b.forget(id)
-	if j := b.finalized[id]; j != nil {
-		delete(b.finalized, id)
+	r.forget(id)
+	if j := r.finalized[id]; j != nil {
+		delete(r.finalized, id)
 		if j.launched {
-			b.orphanRecords[id] = true
+			r.orphanRecords[id] = true
 		}
 	}
 }
 
 // applyPart follows a part, of so many tasks, of a large job's done set.
-func (b *Registry) applyPart(c statestore.Change, tasks int) {
+func (r *Registry) applyPart(c statestore.Change, tasks int) {
 	id, part, ok := strings.Cut(c.Key[len(keyPart):], "/") // both prefixes have one length
 	k, err := strconv.Atoi(part)
-	j := b.Open[id]
+	j := r.Open[id]
 	if c.Removed {
-		delete(b.orphanParts, c.Key)
+		delete(r.orphanParts, c.Key)
 	} else if j == nil {
-		b.orphanParts[c.Key] = true
+		r.orphanParts[c.Key] = true
 	}
 	if !ok || err != nil || j == nil || k < 0 || k*tasks >= j.Tasks {
 		return
@@ -196,54 +196,54 @@
 // Tick writes progress and completions of the jobs that this node owns, and
 // sends the waiting users' requests. may tells whether the owner may write;
 // gone whether no machine can hold tasks that have no known place.
-func (b *Registry) Tick(now time.Duration, unix float64, may bool, gone func(*Job) bool) {
-	b.unixTime = unix
-	b.now = max(b.now, now)
-	b.expireLookups()
-	b.sendSubmissions()
-	b.sendLookups()
-	if !may || b.now < b.nextScan {
+func (r *Registry) Tick(now time.Duration, unix float64, may bool, gone func(*Job) bool) {
+	r.unixTime = unix
+	r.now = max(r.now, now)
+	r.expireLookups()
+	r.sendSubmissions()
+	r.sendLookups()
+	if !may || r.now < r.nextScan {
 		return
 	}
-	b.nextScan = b.now + limits.ScanInterval
-	flush := b.now >= b.nextFlush
+	r.nextScan = r.now + limits.ScanInterval
+	flush := r.now >= r.nextFlush
 	if flush {
-		b.removeOrphans()
-		b.nextFlush = b.now + limits.BatchInterval
+		r.removeOrphans()
+		r.nextFlush = r.now + limits.BatchInterval
 	}
-	b.removeFinalizedRecords()
-	for _, id := range b.sortedIDs() {
-		j := b.Open[id]
-		if j.Active && !j.closing && b.now >= b.flushAt[id] {
-			b.writeJob(j, flush, gone)
+	r.removeFinalizedRecords()
+	for _, id := range r.sortedIDs() {
+		j := r.Open[id]
+		if j.Active && !j.closing && r.now >= r.flushAt[id] {
+			r.writeJob(j, flush, gone)
 		}
 	}
-	b.doneSets.Write()
+	r.doneSets.Write()
 }
 
 // writeJob ends a job that is over, or, if it is time to flush, writes its progress.
-func (b *Registry) writeJob(j *Job, flush bool, gone func(*Job) bool) {
+func (r *Registry) writeJob(j *Job, flush bool, gone func(*Job) bool) {
 	switch {
 	case j.Cancelled:
 		if len(j.Assigned) == 0 && gone(j) && !j.writing {
-			b.finalize(j, "")
+			r.finalize(j, "")
 		}
 	case j.DoneCount == j.Tasks:
 		if !j.writing {
-			b.finalize(j, wire.StatusDone)
+			r.finalize(j, wire.StatusDone)
 		}
 	case !flush || len(j.dirty) == 0:
 	case j.isPacked():
 		clear(j.dirty)
-		b.doneSets.Set(j.GuardClass, j.ID, j.Done.chunk(0, limits.ChunkTasks), limits.ScanInterval)
+		r.doneSets.Set(j.GuardClass, j.ID, j.Done.chunk(0, limits.ChunkTasks), limits.ScanInterval)
 	case !j.writing:
-		b.writePart(j, slices.Min(slices.Collect(maps.Keys(j.dirty))), statestore.Progress)
+		r.writePart(j, slices.Min(slices.Collect(maps.Keys(j.dirty))), statestore.Progress)
 	}
 }
 
-func (b *Registry) sortedIDs() []string {
-	ids := make([]string, 0, len(b.Open))
-	for id := range b.Open {
+func (r *Registry) sortedIDs() []string {
+	ids := make([]string, 0, len(r.Open))
+	for id := range r.Open {
 		ids = append(ids, id)
 	}
 	sort.Strings(ids)
@@ -251,18 +251,18 @@
 }
 
 // SetDisplayCounts records the counts that an owner tells, for display only.
-func (b *Registry) SetDisplayCounts(id string, done, running int) {
-	if j := b.Open[id]; j != nil {
+func (r *Registry) SetDisplayCounts(id string, done, running int) {
+	if j := r.Open[id]; j != nil {
 		j.displayDone, j.displayRunning = done, running
 	}
 }
 
-func (b *Registry) currentStatus(id string) wire.JobStatus {
-	if f, ok := b.finals[id]; ok {
+func (r *Registry) currentStatus(id string) wire.JobStatus {
+	if f, ok := r.finals[id]; ok {
 		return wire.JobStatus{ID: id, Status: f.Status, Done: f.Done}
 	}
 	s := wire.JobStatus{ID: id, Status: wire.StatusPending}
-	if j := b.Open[id]; j != nil {
+	if j := r.Open[id]; j != nil {
 		if j.Active {
 			s.Done, s.Running = j.DoneCount, j.Running()
 		} else {
--- a/internal/jobs/registry_test.go
+++ b/internal/jobs/registry_test.go
@@ -41,20 +41,20 @@
 	}
 }
 
-// bench is a book with a state service that answers as told.
+// bench is a registry with a state service that answers as told.
 type bench struct {
-	t     *testing.T
-	store *statestore.Store
-	book  *Registry
-	now   time.Duration
-	txns  []statestore.Call
-	gets  []statestore.Call
+	t        *testing.T
+	store    *statestore.Store
+	registry *Registry
+	now      time.Duration
+	txns     []statestore.Call
+	gets     []statestore.Call
 }
 
 func newBench(t *testing.T) *bench {
 	s := statestore.New(1000, 1000, 8, 4)
 	guard := func(string) wire.Guard { return wire.Guard{Key: "u/own/c", Version: 1} }
-	b := &bench{t: t, store: s, book: New(s, guard, func() int { return limits.RecordFormat }, func(slog.Level, string, ...any) {}), now: time.Second}
+	b := &bench{t: t, store: s, registry: New(s, guard, func() int { return limits.RecordFormat }, func(slog.Level, string, ...any) {}), now: time.Second}
 	b.tick() // reads the mirror
 	return b
 }
@@ -70,7 +70,7 @@
 // tick lets time pass; the mirror is empty, transactions are kept for the test.
 func (b *bench) tick() {
 	b.now += 100 * time.Millisecond
-	b.book.Tick(b.now, 0, true, func(*Job) bool { return true })
+	b.registry.Tick(b.now, 0, true, func(*Job) bool { return true })
 	for _, c := range b.store.Tick(b.now) {
 		switch {
 		case strings.HasPrefix(c.Path, "/kv?"):
@@ -82,7 +82,7 @@
 		}
 	}
 	for _, ch := range b.store.Mirror.TakeChanges() {
-		b.book.Apply(ch)
+		b.registry.Apply(ch)
 	}
 }
 
@@ -90,7 +90,7 @@
 	b.store.Mirror.Put(keyJob+id, b.pack(&wire.Job{ID: id, Tasks: tasks, Types: []string{"c"}}), version)
 	b.tick()
 	b.txns = nil
-	return b.book.Open[id]
+	return b.registry.Open[id]
 }
 
 func TestRepeatedSubmissionIsOneJob(t *testing.T) {
@@ -99,7 +99,7 @@
 	var got []Answer
 	job := &wire.Job{ID: "job-1", Tasks: 1, Types: []string{"c"}}
 	for i := 0; i < 2; i++ {
-		b.book.Submit(b.now, job, func(a Answer) { got = append(got, a) })
+		b.registry.Submit(b.now, job, func(a Answer) { got = append(got, a) })
 	}
 	b.tick()
 	if len(b.txns) != 1 {
@@ -111,10 +111,10 @@
 	}
 	// No answer: the user is told to come back, and nothing is assumed.
 	b.txns, got = nil, nil
-	b.book.Submit(b.now, &wire.Job{ID: "job-2", Tasks: 1}, func(a Answer) { got = append(got, a) })
+	b.registry.Submit(b.now, &wire.Job{ID: "job-2", Tasks: 1}, func(a Answer) { got = append(got, a) })
 	b.tick()
 	b.store.Reply(b.now, b.txns[0].ID, 0, nil)
-	if len(got) != 1 || got[0].Status != 503 || got[0].RetryAfter == 0 || b.book.Known("job-2") {
+	if len(got) != 1 || got[0].Status != 503 || got[0].RetryAfter == 0 || b.registry.Known("job-2") {
 		t.Fatalf("answers %+v", got)
 	}
 }
@@ -124,7 +124,7 @@
 	b.open("job-1", 2, 5)
 	got := map[string]Answer{}
 	for _, id := range []string{"job-1", "job-2", "job-3"} {
-		b.book.Query(b.now, id, func(a Answer) { got[id] = a })
+		b.registry.Query(b.now, id, func(a Answer) { got[id] = a })
 	}
 	b.tick()
 	if len(b.txns) != 1 {
@@ -142,7 +142,7 @@
 		}
 	}
 	b.txns = nil
-	b.book.Query(b.now, "job-3", func(a Answer) { got["job-3"] = a })
+	b.registry.Query(b.now, "job-3", func(a Answer) { got["job-3"] = a })
 	b.tick()
 	b.store.Reply(b.now, b.txns[0].ID, 503, nil)
 	if got["job-3"].Status != 503 {
@@ -159,7 +159,7 @@
 	for i := 0; i < 10; i++ {
 		id := fmt.Sprintf("job-%d", i)
 		began[id] = b.now
-		b.book.Query(b.now, id, func(a Answer) {
+		b.registry.Query(b.now, id, func(a Answer) {
 			if a.Status != 503 {
 				t.Errorf("%s: %d without an answer of the state service", id, a.Status)
 			}
@@ -177,8 +177,8 @@
 			t.Errorf("%s was answered after %v", id, took)
 		}
 	}
-	if b.book.waiting != 0 {
-		t.Errorf("%d requests still counted as waiting", b.book.waiting)
+	if b.registry.waiting != 0 {
+		t.Errorf("%d requests still counted as waiting", b.registry.waiting)
 	}
 }
 
@@ -196,7 +196,7 @@
 		t.Errorf("guards %v", txn.Guards)
 	}
 	b.store.Reply(b.now, b.txns[0].ID, 409, b.pack(wire.TxnReply{Failed: []string{keyFinal + "job-1"}}))
-	if b.book.Open["job-1"] == nil {
+	if b.registry.Open["job-1"] == nil {
 		t.Fatal("the job is gone although its completion was refused")
 	}
 	b.store.Mirror.Put(keyCancelled+"job-1", b.pack(true), 7)
@@ -221,7 +221,7 @@
 		b.store.Mirror.Put(fmt.Sprintf("%sjob-1/%d", keyLargePart, k), b.pack(donePart{}), uint64(6+k))
 	}
 	b.tick()
-	b.book.Apply(statestore.Change{Key: keyJob + "job-1", Removed: true})
+	b.registry.Apply(statestore.Change{Key: keyJob + "job-1", Removed: true})
 	removed := 0
 	for i := 0; i < 60 && removed < 7; i++ {
 		b.txns = nil
@@ -246,7 +246,7 @@
 func TestWhatCannotBeTakenIsSaidAtOnce(t *testing.T) {
 	b := newBench(t)
 	submit := func(id string) (a Answer) {
-		b.book.Submit(b.now, &wire.Job{ID: id, Tasks: 1}, func(x Answer) { a = x })
+		b.registry.Submit(b.now, &wire.Job{ID: id, Tasks: 1}, func(x Answer) { a = x })
 		return a
 	}
 	b.store.SetShare(0.001, 0.001) // a change a second
@@ -271,7 +271,7 @@
 		t.Errorf("without the state service: %+v", a)
 	}
 	asked := Answer{}
-	b.book.Query(b.now, "job-3", func(a Answer) { asked = a })
+	b.registry.Query(b.now, "job-3", func(a Answer) { asked = a })
 	if asked.Status != 503 {
 		t.Errorf("a question without the state service: %+v", asked)
 	}
@@ -284,7 +284,7 @@
 	b.tick()
 	got := map[string]int{}
 	for _, id := range []string{"job-1", "job-2", "job-3"} {
-		b.book.Submit(b.now, &wire.Job{ID: id, Tasks: 1, Types: []string{"c"}}, func(a Answer) { got[id] = a.Status })
+		b.registry.Submit(b.now, &wire.Job{ID: id, Tasks: 1, Types: []string{"c"}}, func(a Answer) { got[id] = a.Status })
 	}
 	for range 5 {
 		b.txns = nil
--- a/internal/jobs/stale_answers_test.go
+++ b/internal/jobs/stale_answers_test.go
@@ -21,7 +21,7 @@
 
 func (b *bench) submit(id string, answers *[]Answer) {
 	job := &wire.Job{ID: id, Tasks: 1, Types: []string{"c"}}
-	b.book.Submit(b.now, job, func(a Answer) { *answers = append(*answers, a) })
+	b.registry.Submit(b.now, job, func(a Answer) { *answers = append(*answers, a) })
 }
 
 // takeTxn returns the only transaction that has left since the last call.
@@ -112,9 +112,9 @@
 // answer of the transaction that accepted it. The node itself has told users the end by then.
 func TestLateAcceptanceTellsTheKnownEnd(t *testing.T) {
 	b, commit, first := submissionUnderWay(t, "job-1")
-	b.book.MergeCancellations(b.now, []string{"job-1"})
+	b.registry.MergeCancellations(b.now, []string{"job-1"})
 	var question []Answer
-	b.book.Query(b.now, "job-1", func(a Answer) { question = append(question, a) })
+	b.registry.Query(b.now, "job-1", func(a Answer) { question = append(question, a) })
 	if len(question) != 1 {
 		t.Fatalf("the question has %d answers", len(question))
 	}
