Comments and names: field terms for what earlier names left behind

Comments of the core and of ownership spoke of names that are gone (lastKnock, visits, vouched, Blind); "wish" and "roster" give way to request and records. No change of behaviour; what is stored or sent between controllers keeps its names.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -34,14 +34,15 @@
 	loads          map[string]*machineLoad     // machine -> what is placed on it
 	booked         map[string]map[string]usage // team -> class -> what is placed
 	machineRecords map[string]machineRecord
-	machineTable   *statestore.RecordTable // the roster's keys
+	machineTable   *statestore.RecordTable // where machineRecords are stored
 	attemptCounter uint64                  // attempts given out
-	// lastReport is when a worker's report last counted, backAt when one last came
-	// after a time without any, and newcomer when a machine last found this owner.
+	// lastReport is when a worker's report last counted, reportsResumedAt when one last came
+	// after a time without any, and lastNewMachine when a machine last found this owner.
 	lastReport, reportsResumedAt, lastNewMachine time.Duration
-	// lastKnock is when a report for our classes last arrived, answered or not,
-	// lastVisit when one for classes of others did, and desertedAt when this node
-	// last handed its classes over. visits is when peers last told of theirs.
+	// lastArrival is when a report for our classes last arrived, answered or not,
+	// lastForeignArrival when one for classes of others did, and handedOverAt when this node
+	// last handed its classes over. foreignArrivals is when each peer last said that reports
+	// for classes of others arrive there.
 	lastArrival, lastForeignArrival, handedOverAt time.Duration
 	foreignArrivals                               map[string]time.Duration
 	nextArrivalQuery                              time.Duration
@@ -89,7 +90,7 @@
 	keepIdle        map[string]bool // classes whose machines keep small tasks off scarce ones
 	typesSaved      map[string]bool
 	savingTypes     bool
-	recordRequested map[string]bool // machines whose record as up was wished for
+	recordRequested map[string]bool // machines whose record as up was requested
 	nextRecordScan  time.Duration
 	resolving       map[string]bool // classes taken over with machines still unresolved
 }
--- a/internal/controller/machine_records.go
+++ b/internal/controller/machine_records.go
@@ -33,7 +33,7 @@
 	Class   string `msgpack:"-"`
 }
 
-// applyMachineRecord follows the roster's records.
+// applyMachineRecord follows the records of machines.
 func (c *Core) applyMachineRecord(id, class string, value msgpack.RawMessage, gone bool) {
 	var e machineRecord
 	switch {
--- a/internal/controller/peer_messages.go
+++ b/internal/controller/peer_messages.go
@@ -9,7 +9,7 @@
 )
 
 // PeerMessage is what controllers tell each other: counts for display, cancellations
-// that users were told, the wish for a promise not to take over the given terms, or the
+// that users were told, a request for a promise not to take over the given terms, or the
 // question whether the peer reaches the state service, or whether workers of others
 // come to it.
 type PeerMessage struct {
@@ -24,7 +24,7 @@
 	Faulty []string
 }
 
-// PeerAnswer answers a PeerMessage. Where a promise was wished for, it also carries the
+// PeerAnswer answers a PeerMessage. Where a promise was requested, it also carries the
 // cancellations that the peer knows: Vouch tells that these are all that it, or an
 // earlier life of it, told users, and all that anybody was told up to Behind before.
 type PeerAnswer struct {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -29,7 +29,7 @@
 	c.out = append(c.out, Answer{Ref: x.Ref, Status: 503})
 }
 
-// submit judges a submission and hands it to the book. A known job is never
+// submit judges a submission and hands it to the registry of jobs. A known job is never
 // judged again: settings and machine types may have changed since.
 func (c *Core) submit(x Submit) {
 	s, err := wire.ParseSubmission(x.Body)
--- a/internal/jobs/done_sets.go
+++ b/internal/jobs/done_sets.go
@@ -98,7 +98,7 @@
 			r.doneSets.SetUrgent(j.GuardClass, j.ID, j.Done.chunk(0, limits.ChunkTasks), wait)
 		}
 	case !j.writing:
-		r.writePart(j, 0, statestore.Roster)
+		r.writePart(j, 0, statestore.Records)
 	}
 }
 
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -57,7 +57,7 @@
 	parts           map[string]uint64 // versions of the written parts of the done set, by key
 	dirty           map[int]bool
 	launched        bool // its record is written
-	recordRequested bool // its record was wished for
+	recordRequested bool // its record was requested
 	writing         bool
 	closing         bool
 	Assigned        map[int]Assignment
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -258,7 +258,7 @@
 	RentBackoff = 6 * time.Second
 	// RentMost is the most machines in one request, as the protocol sets.
 	RentMost = 50
-	// RentalsPlanned bounds the machines that one reckoning wishes for: a job of
+	// RentalsPlanned bounds the machines that one plan asks for: a job of
 	// 100,000 tasks must not be packed onto thousands of them twice a second.
 	RentalsPlanned = 100
 	// DeleteMost is the most names in one deletion, as the protocol sets.
--- a/internal/ownership/extension.go
+++ b/internal/ownership/extension.go
@@ -6,7 +6,7 @@
 	"umberpaddle/internal/limits"
 )
 
-// GrantExtension answers a peer that wishes to go on answering its workers for the
+// GrantExtension answers a peer that asks to go on answering its workers for the
 // given classes and terms: yes if the state service is out of our reach as
 // well and nobody is known to have followed that peer. The promise holds from now.
 func (n *Node) GrantExtension(now time.Duration, terms map[string]uint64) bool {
@@ -48,8 +48,8 @@
 
 // NeedsExtension tells whether peers should be asked for promises now.
 func (n *Node) NeedsExtension() bool {
-	blind := n.now-n.CancellationsKnownThrough() > n.MaxStaleness/2
-	if len(n.claims) == 0 || !n.store.Down() && !blind || n.now < n.nextExtensionRequest {
+	stale := n.now-n.CancellationsKnownThrough() > n.MaxStaleness/2
+	if len(n.claims) == 0 || !n.store.Down() && !stale || n.now < n.nextExtensionRequest {
 		return false
 	}
 	n.nextExtensionRequest = n.now + limits.ExtensionInterval
--- a/internal/ownership/handover.go
+++ b/internal/ownership/handover.go
@@ -26,10 +26,10 @@
 
 // Handover gives all classes to another node, for an owner that its workers
 // can't reach: it stops acting in this step, and names its successor itself, since
-// the leader sees nothing wrong with it. wish is the node that workers reach, or
+// the leader sees nothing wrong with it. preferred is the node that workers reach, or
 // empty if none is known.
-func (n *Node) Handover(wish string) {
-	n.preferredSuccessor = wish
+func (n *Node) Handover(preferred string) {
+	n.preferredSuccessor = preferred
 	next := n.successor()
 	if next == "" || !n.LeaseValid() {
 		return
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -93,21 +93,21 @@
 	extensions           map[string]time.Duration // peers' promises to us, until
 	nextExtensionRequest time.Duration
 
-	// What is known of cancellations that users were told: vouched is up to when each
-	// peer vouches for its own, heardOf up to when any peer knows everybody's, and
-	// Blind for how long this node may go on without knowing.
+	// What is known of cancellations that users were told: peerCancellationsAt is up to when
+	// each peer has told all of its own, peerKnownThrough up to when any peer has told
+	// everybody's, and MaxStaleness for how long this node may act without knowing more.
 	peerCancellationsAt map[string]time.Duration
 	peerKnownThrough    time.Duration
 	MaxStaleness        time.Duration
 }
 
-// New makes the slice. inc is a random number that names this process's life, blind
-// what Blind says of the workers.
-func New(name string, others []string, inc uint64, start, blind time.Duration, store *statestore.Store, log func(slog.Level, string, ...any)) *Node {
+// New makes the state of a process. inc is a random number that names the process's life,
+// staleness what MaxStaleness returns for the workers' settings.
+func New(name string, others []string, inc uint64, start, staleness time.Duration, store *statestore.Store, log func(slog.Level, string, ...any)) *Node {
 	return &Node{Name: name, Inc: inc, SupportedFormat: limits.RecordFormat, store: store, others: others, log: log, now: start, start: start,
 		nodes: map[string]record{}, mapping: map[string]record{}, holders: map[string]record{}, lastOwners: map[string]string{},
 		endingLeases: map[uint64]bool{}, claims: map[string]*Claim{}, handingOver: map[string]uint64{}, retryAt: map[string]time.Duration{}, extensions: map[string]time.Duration{},
-		peerCancellationsAt: map[string]time.Duration{}, MaxStaleness: blind,
+		peerCancellationsAt: map[string]time.Duration{}, MaxStaleness: staleness,
 		jitter: time.Duration(inc % uint64(limits.ElectionJitter))}
 }
 
--- a/internal/statestore/record_table.go
+++ b/internal/statestore/record_table.go
@@ -32,7 +32,7 @@
 	pausedUntil time.Duration // no writing before this
 }
 
-// page is one key of a pack.
+// page is one key of a record table.
 type page struct {
 	class   string
 	key     string
@@ -40,7 +40,7 @@
 	stored  map[string]msgpack.RawMessage
 	pending map[string]pendingRecord
 	size    int
-	due     time.Duration // when the wishes are to be written
+	due     time.Duration // when the pending records are to be written
 	urgent  bool
 }
 
@@ -156,7 +156,7 @@
 	}
 }
 
-// Set wishes for a record, to be written within wait; without a wait it is
+// Set requests a record, to be written within wait; without a wait it is
 // urgent, and goes with everything else that waits for its key.
 func (p *RecordTable) Set(class, id string, value any, wait time.Duration) {
 	p.set(class, id, value, wait, wait == 0)
@@ -180,7 +180,7 @@
 	p.request(pg, id, raw, wait, urgent)
 }
 
-// Remove wishes a record away, within wait.
+// Remove requests that a record is removed within wait.
 func (p *RecordTable) Remove(id string, wait time.Duration) {
 	if pg := p.pageOf[id]; pg != nil {
 		p.request(pg, id, nil, wait, wait == 0)
@@ -221,7 +221,7 @@
 	}
 }
 
-// Forget drops the wishes for a class that this node owns no more.
+// Forget drops the pending records of a class that this node owns no more.
 func (p *RecordTable) Forget(class string) {
 	for _, pg := range p.pages {
 		if pg.class != class {
@@ -244,7 +244,7 @@
 	records map[string]msgpack.RawMessage
 }
 
-// records is what a key holds once its wishes are written.
+// records is what a key holds once its pending records are written.
 func (pg *page) records() map[string]msgpack.RawMessage {
 	recs := maps.Clone(pg.stored)
 	for id, w := range pg.pending {
@@ -380,7 +380,7 @@
 func (p *RecordTable) send(w *tableWrite, urgent bool) {
 	prio := Progress
 	if urgent {
-		prio = Roster
+		prio = Records
 	}
 	p.writing = true
 	p.store.Txn(prio, limits.StoreTimeout, w.txn, func(r Reply) {
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -20,7 +20,7 @@
 const (
 	Lease    Priority = iota // renewals and claims: without them nothing is allowed
 	User                     // submissions and cancellations
-	Roster                   // jobs and machines that wait to be used, many to a change
+	Records                  // jobs and machines that wait to be used, many to a change
 	Finish                   // completions
 	Query                    // questions about jobs: many go together while they wait
 	Progress                 // done bits, clean-up
--- a/internal/statestore/store_test.go
+++ b/internal/statestore/store_test.go
@@ -163,7 +163,7 @@
 	records, completions := 0, 0
 	for now := time.Second; now <= 11*time.Second; now += 50 * time.Millisecond {
 		if now%(2*time.Second) == 0 {
-			s.Txn(Roster, time.Second, wire.Txn{Then: make([]wire.Op, 7)}, func(r Reply) {
+			s.Txn(Records, time.Second, wire.Txn{Then: make([]wire.Op, 7)}, func(r Reply) {
 				if r.Status == OK {
 					records++
 				}
