--- a/internal/controller/scale_test.go
+++ b/internal/controller/scale_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -11,6 +12,9 @@
 	"umberpaddle/internal/wire"
 )
 
+// fleetMachines is how many machines the large fleet has; raise it to measure.
+var fleetMachines = flag.Int("fleet.machines", 2070, "machines of the simulated large fleet")
+
 // largeWorld is half as large again as the largest fleet that was announced, with
 // its budgets: the machines are up when the controllers start.
 func largeWorld(nodes int, seed uint64) *simulation {
@@ -20,7 +24,7 @@
 	if nodes == 5 {
 		cfg.lease, cfg.report, cfg.cancel, cfg.txnOps, cfg.valueKB, cfg.writeRPS, cfg.rps, cfg.cloudRPS = 22, 4, 42, 8, 4, 80, 600, 6
 	}
-	const machines = 2070
+	machines := *fleetMachines
 	cfg.capacity = map[fleet.Kind]int{}
 	for _, z := range cfg.types[0].Zones {
 		cfg.capacity[fleet.Kind{Class: "m", Zone: z}] = machines / 6
