--- a/internal/controller/fault_injection_test.go
+++ b/internal/controller/fault_injection_test.go
@@ -323,9 +323,7 @@
 		w = guestFillsTheCloud(cfg, seed, sabotage)
 		w.user("job-000002", map[string]any{"docket": "short", "crew": "red", "form": "batch", "urgency": "standard",
 			"sheets": 6, "cores": 8.0, "accelerators": 0.0, "ramGb": 4.0, "loaners": true, "reckonS": 10.0}, 10)
-		from := w.now
-		for w.now < from+40*time.Second && began == 0 {
-			w.run(w.now + 250*time.Millisecond)
+		began = w.runUntil(40*time.Second, func() bool {
 			n := 0
 			for _, m := range w.machines {
 				for id, x := range m.tasks {
@@ -334,27 +332,15 @@
 					}
 				}
 			}
-			if n >= 4 {
-				began = w.now - from
-			}
-		}
+			return n >= 4
+		})
 		return w, began
 	}
-	withNodes(t, 3, func(t *testing.T, cfg simConfig, seed uint64) {
-		w, began := play(cfg, seed, nil)
-		if began == 0 || began > 15*time.Second {
-			t.Errorf("work within the guarantee began after %v", began)
-		}
+	guestReturnsRoom(t, play, 15*time.Second, func(w *simulation) {
 		if n := w.owner(); n != nil {
 			n.crash(time.Second)
 		}
-		w.run(1200 * time.Second)
-		w.mustKeepRules(t)
-		w.mustFinish(t)
 	})
-	if _, began := play(standardConfig(), 1, func(c *Core) { c.nextPreemption = c.now.Steady + time.Second }); began != 0 && began < 15*time.Second {
-		t.Errorf("without claims it began after %v: the guest leaves too much to show anything", began)
-	}
 }
 
 // TestGuestsReturnRoomForWholeGangs: the guest's tasks fill the cloud again, and a gang
@@ -366,28 +352,35 @@
 		gang := gangSpec("red", 5, 8, 10)
 		gang["loaners"] = false
 		w.user("job-000002", gang, 10)
-		from := w.now
-		for w.now < from+40*time.Second && began == 0 {
-			w.run(w.now + 250*time.Millisecond)
+		began = w.runUntil(40*time.Second, func() bool {
 			for key, g := range w.gangs {
 				if key.job.id == "job-000002" && g.began {
-					began = w.now - from
+					return true
 				}
 			}
-		}
+			return false
+		})
 		return w, began
 	}
+	guestReturnsRoom(t, play, 20*time.Second, func(*simulation) {})
+}
+
+// guestReturnsRoom plays days on which a guest has to return what it borrows: work within a
+// guarantee must begin in time, and not without preemption.
+func guestReturnsRoom(t *testing.T, play func(cfg simConfig, seed uint64, sabotage func(*Core)) (*simulation, time.Duration), within time.Duration, afterwards func(w *simulation)) {
+	t.Helper()
 	withNodes(t, 3, func(t *testing.T, cfg simConfig, seed uint64) {
 		w, began := play(cfg, seed, nil)
-		if began == 0 || began > 20*time.Second {
-			t.Errorf("the gang within its team's guarantee began after %v", began)
+		if began == 0 || began > within {
+			t.Errorf("work within the guarantee began after %v", began)
 		}
+		afterwards(w)
 		w.run(1200 * time.Second)
 		w.mustKeepRules(t)
 		w.mustFinish(t)
 	})
-	if _, began := play(standardConfig(), 1, func(c *Core) { c.nextPreemption = c.now.Steady + time.Second }); began != 0 && began < 20*time.Second {
-		t.Errorf("without claims it began after %v: the guest leaves too much to show anything", began)
+	if _, began := play(standardConfig(), 1, func(c *Core) { c.nextPreemption = c.now.Steady + time.Second }); began != 0 && began < within {
+		t.Errorf("without preemption it began after %v: the guest leaves too much to show anything", began)
 	}
 }
 
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -131,6 +131,18 @@
 	w.now = until
 }
 
+// runUntil runs until a condition holds, for so long at the most, and tells how long that took;
+// 0: it never held.
+func (w *simulation) runUntil(most time.Duration, holds func() bool) time.Duration {
+	for from := w.now; w.now < from+most; {
+		w.run(w.now + 250*time.Millisecond)
+		if holds() {
+			return w.now - from
+		}
+	}
+	return 0
+}
+
 func (w *simulation) reportBroken(rule, format string, args ...any) {
 	w.broken = append(w.broken, fmt.Sprintf("%s at %.1f s: %s", rule, w.now.Seconds(), fmt.Sprintf(format, args...)))
 }
--- a/internal/jobs/stale_answers_test.go
+++ b/internal/jobs/stale_answers_test.go
@@ -46,6 +46,23 @@
 	b.store.Reply(b.now, call.ID, 200, b.pack(map[string]any{"path": "x", "v": finalState{Status: state}, "stamp": 9}))
 }
 
+// mustLookUpAnew checks that a repeat has no answer yet, and gets one from a look at the state
+// service that leaves now: the job was cancelled meanwhile.
+func (b *bench) mustLookUpAnew(id string, repeat *[]Answer) {
+	b.t.Helper()
+	if len(*repeat) != 0 {
+		b.t.Fatalf("the repeat was answered from an earlier reading: %+v", *repeat)
+	}
+	b.tick()
+	b.store.Reply(b.now, b.takeTxn().ID, 409, b.pack(wire.TxnReply{Failed: []string{keyFinal + id}}))
+	b.tick()
+	b.replyFinal(wire.StatusCancelled)
+	if len(*repeat) != 1 {
+		b.t.Fatalf("the repeat has %d answers", len(*repeat))
+	}
+	mustTell(b.t, (*repeat)[0], wire.StatusCancelled)
+}
+
 func mustTell(t *testing.T, a Answer, want wire.JobState) {
 	t.Helper()
 	state, ok := a.Body.(wire.JobStatus)
@@ -71,17 +88,7 @@
 		t.Fatalf("the first submission has %d answers", len(*first))
 	}
 	mustTell(t, (*first)[0], wire.StatusPending)
-	if len(repeat) != 0 {
-		t.Fatalf("the repeat was answered from an earlier look: %+v", repeat)
-	}
-	b.tick()
-	b.store.Reply(b.now, b.takeTxn().ID, 409, b.pack(wire.TxnReply{Failed: []string{keyFinal + "job-1"}}))
-	b.tick()
-	b.replyFinal(wire.StatusCancelled)
-	if len(repeat) != 1 {
-		t.Fatalf("the repeat has %d answers", len(repeat))
-	}
-	mustTell(t, repeat[0], wire.StatusCancelled)
+	b.mustLookUpAnew("job-1", &repeat)
 }
 
 // TestRepeatAfterTheTransactionLeft is the same for the transaction that accepts the job:
@@ -95,17 +102,7 @@
 	if len(*first) != 1 || (*first)[0].Status != 201 {
 		t.Fatalf("the first submission got %+v", *first)
 	}
-	if len(repeat) != 0 {
-		t.Fatalf("the repeat was answered from an earlier transaction: %+v", repeat)
-	}
-	b.tick()
-	b.store.Reply(b.now, b.takeTxn().ID, 409, b.pack(wire.TxnReply{Failed: []string{keyFinal + "job-1"}}))
-	b.tick()
-	b.replyFinal(wire.StatusCancelled)
-	if len(repeat) != 1 {
-		t.Fatalf("the repeat has %d answers", len(repeat))
-	}
-	mustTell(t, repeat[0], wire.StatusCancelled)
+	b.mustLookUpAnew("job-1", &repeat)
 }
 
 // TestLateAcceptanceTellsTheKnownEnd: a peer's word that the job is cancelled overtakes the
