Links: controllers keep and exchange a view of their links, off by default

The core feeds package reachability with what it sends and hears: the state service's requests, writes and watches apart, each peer, workers by class and zone, the cloud, users. Views go to peers every 2 s in an added field, which earlier versions skip; each controller tells which half it has lost and whether it alone has.

Bad settings end the program with code 2 and the field's name.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -92,6 +92,7 @@
 			return nil
 		}})
 	addClientCommands(root, in, out)
+	root.AddCommand(linksCommand(out))
 	return root
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	_ "embed"
 	"encoding/json"
 	"errors"
@@ -10,6 +11,8 @@
 	"strings"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"umberpaddle/internal/limits"
 )
 
 // OperatorSchema is the schema of the operators' file.
@@ -21,6 +24,27 @@
 type Operator struct {
 	IdleReturnS float64 `json:"idle_return_s"` // 0: the built-in value
 	AllowSpot   *bool   `json:"allow_spot"`    // nil: true
+	// Reachability switches on the view of links.
+	Reachability Reachability `json:"reachability"`
+}
+
+// Reachability holds the operators' settings for the view of links; 0: the built-in value.
+type Reachability struct {
+	Enabled       bool    `json:"enabled"`
+	SuspectFactor float64 `json:"suspect_factor"`
+	FlapHalfLifeS float64 `json:"flap_half_life_s"`
+	FlapSuppress  float64 `json:"flap_suppress"`
+	FlapReuse     float64 `json:"flap_reuse"`
+	FlapLongestS  float64 `json:"flap_longest_s"`
+}
+
+// check tells what the schema can't: how the settings go together.
+func (r Reachability) check() error {
+	suppress, reuse := cmp.Or(r.FlapSuppress, limits.FlapSuppress), cmp.Or(r.FlapReuse, limits.FlapReuse)
+	if reuse >= suppress {
+		return &FieldError{"operator.reachability.flap_reuse", "must be below flap_suppress"}
+	}
+	return nil
 }
 
 // Spot tells whether spot machines may be rented.
@@ -71,5 +95,8 @@
 	if err := json.Unmarshal(b, o); err != nil {
 		return nil, fmt.Errorf("operators' file: %w", err)
 	}
+	if err := o.Reachability.check(); err != nil {
+		return nil, err
+	}
 	return o, nil
 }
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -77,6 +77,7 @@
 	nextUsageLog       time.Duration
 	storeReplies       replyTimes
 	nextKnowledgeLog   time.Duration
+	links              *linkMonitor // nil: not switched on
 	toldCounts         map[string][2]int
 	// cancelNotices are cancellations of which the owners of classes were not told yet.
 	cancelNotices map[string]map[string]bool
@@ -139,6 +140,7 @@
 	c.machineTable = statestore.NewRecordTable(c.store, keyMachines, c.ownership.Guard, c.applyMachineRecord)
 	c.pool = workers.New(cl.Workers.LeaseS, cl.Workers.ReportS)
 	c.fleet = fleet.New(cl.Cloud.RPS, cl.Cloud.ListLagS, rentalPrefix(set.Label, random), c.log)
+	c.links = newLinkMonitor(set.Label, random, ops.Reachability, now.Steady)
 	c.fleet.OnGone = c.machineGone
 	c.fleet.ReportWithin = c.pool.SilentFor()
 	c.fleet.TakeoverRound = c.pool.Report*5/4 + limits.TakeoverSlack
@@ -161,6 +163,7 @@
 	t := c.now.Steady
 	c.ownership.Advance(t)
 	c.store.Advance(t)
+	c.links.noteInput(in, t)
 	switch x := in.(type) {
 	case Submit:
 		c.submit(x)
@@ -170,6 +173,8 @@
 		c.cancel(x)
 	case Ready:
 		c.ready(x)
+	case LinksQuery:
+		c.tellLinks(x)
 	case Checkin:
 		// Hundreds come each second, and what follows from one can wait for the
 		// next tick, but for the answer.
@@ -198,6 +203,7 @@
 // over, as soon as it went on.
 func (c *Core) resumeAfterPause(t time.Duration) {
 	c.log(slog.LevelInfo, "stood still", "for", t-c.now.Steady)
+	c.links.stoodStill(t - c.now.Steady)
 	c.lastArrival, c.lastReport = t, t
 	c.reportsResumedAt, c.lastNewMachine = t, t
 	c.nextMachineCheck, c.nextFleetPlan = t+limits.TickInterval, t+limits.PlanInterval
@@ -206,9 +212,19 @@
 func (c *Core) flush() []Output {
 	out := c.out
 	c.out = nil
+	c.links.noteSent(out, c.now.Steady)
 	return out
 }
 
+// tellLinks answers an operator's question for the links.
+func (c *Core) tellLinks(x LinksQuery) {
+	if reply, on := c.links.reply(c.now.Steady); on {
+		c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: reply})
+		return
+	}
+	c.out = append(c.out, Answer{Ref: x.Ref, Status: 404})
+}
+
 func (c *Core) answer(ref uint64, a jobs.Answer) {
 	c.out = append(c.out, Answer{Ref: ref, Status: a.Status, Body: a.Body, RetryAfter: a.RetryAfter})
 }
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -39,6 +39,8 @@
 	}
 	// Ready asks whether the node takes requests.
 	Ready struct{ Ref uint64 }
+	// LinksQuery asks what this controller knows of links.
+	LinksQuery struct{ Ref uint64 }
 	// Checkin is a worker's report.
 	Checkin struct {
 		Ref    uint64
@@ -58,8 +60,9 @@
 	}
 	// PeerReply is a peer's answer to a PeerCall; the empty one stands for none.
 	PeerReply struct {
-		Call   PeerCall
-		Answer PeerAnswer
+		Call       PeerCall
+		Answer     PeerAnswer
+		Unanswered bool
 	}
 	// PeerRequest is a peer's PeerCall as it arrives here.
 	PeerRequest struct {
@@ -94,9 +97,10 @@
 	}
 	// PeerCall is a message to a peer.
 	PeerCall struct {
-		Peer string
-		Sent time.Duration
-		Msg  PeerMessage
+		Peer   string
+		Sent   time.Duration
+		Msg    PeerMessage
+		Number uint64 // among the calls to peers, if links are monitored
 	}
 )
 
@@ -105,6 +109,7 @@
 func (Query) input()       {}
 func (Cancel) input()      {}
 func (Ready) input()       {}
+func (LinksQuery) input()  {}
 func (Checkin) input()     {}
 func (StoreReply) input()  {}
 func (CloudReply) input()  {}
--- a/internal/controller/peer_messages.go
+++ b/internal/controller/peer_messages.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"umberpaddle/internal/limits"
+	"umberpaddle/internal/reachability"
 )
 
 // PeerMessage is what controllers tell each other: counts for display, cancellations
@@ -22,6 +23,8 @@
 	Cancelled []string
 	// Faulty are jobs that fail everywhere. Versions without the field skip it.
 	Faulty []string
+	// View is what the sender knows of its links. Versions without the field skip it.
+	View *reachability.View
 }
 
 // PeerAnswer answers a PeerMessage. Where a promise was requested, it also carries the
@@ -40,6 +43,10 @@
 // messagePeers asks peers for what this node can't see itself, and tells them of its work.
 func (c *Core) messagePeers() {
 	t := c.now.Steady
+	c.watchLinksToWorkers()
+	if view := c.links.tick(t, c.log); view != nil {
+		c.messageAll(PeerMessage{View: view})
+	}
 	if c.ownership.NeedsExtension() {
 		c.messageAll(PeerMessage{Promise: true, Terms: c.ownership.Terms()})
 	}
@@ -62,7 +69,7 @@
 func (c *Core) messageAll(m PeerMessage) {
 	m.From = c.settings.Label
 	for _, p := range c.settings.Others {
-		c.out = append(c.out, PeerCall{p.Label, c.now.Steady, m})
+		c.out = append(c.out, PeerCall{Peer: p.Label, Sent: c.now.Steady, Msg: m})
 	}
 }
 
@@ -184,6 +191,6 @@
 			delete(c.cancelNotices, p.Label)
 			continue
 		}
-		c.out = append(c.out, PeerCall{p.Label, t, PeerMessage{From: c.settings.Label, Cancelled: slices.Sorted(maps.Keys(ids))}})
+		c.out = append(c.out, PeerCall{Peer: p.Label, Sent: t, Msg: PeerMessage{From: c.settings.Label, Cancelled: slices.Sorted(maps.Keys(ids))}})
 	}
 }
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -23,6 +23,41 @@
 	return nil
 }
 
+// LinksRequest asks a controller what it knows of links.
+type LinksRequest struct{}
+
+// ErrLinksOff tells that the operators' file of the asked controller has not switched on the view
+// of links.
+var ErrLinksOff = errors.New("the view of links is not switched on")
+
+// Links tells an operator what this controller knows of links.
+func (p *Peer) Links(_ LinksRequest, reply *LinksReply) error {
+	a, ok := p.s.ask(func(ref uint64) Input { return LinksQuery{ref} }, limits.PeerTimeout)
+	if !ok {
+		return errors.New("no answer from the loop")
+	}
+	known, on := a.Body.(LinksReply)
+	if !on {
+		return ErrLinksOff
+	}
+	*reply = known
+	return nil
+}
+
+// AskLinks asks the controller at a peer address what it knows of links.
+func AskLinks(address string, timeout time.Duration) (reply LinksReply, err error) {
+	conn, err := net.DialTimeout("tcp4", address, timeout)
+	if err != nil {
+		return reply, err
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return reply, err
+	}
+	err = rpc.NewClient(conn).Call("Peer.Links", LinksRequest{}, &reply)
+	return reply, err
+}
+
 func (s *Server) servePeers(l net.Listener) {
 	server := rpc.NewServer()
 	if err := server.Register(&Peer{s}); err != nil {
@@ -105,5 +140,5 @@
 	if err != nil {
 		s.log.Debug("peer not reached", "peer", x.Peer, "error", err)
 	}
-	s.send(inboxEvent{in: PeerReply{Call: x, Answer: answer}, asker: asker})
+	s.send(inboxEvent{in: PeerReply{Call: x, Answer: answer, Unanswered: err != nil}, asker: asker})
 }
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -44,6 +44,7 @@
 	}
 	c.jobsChanged = c.jobsChanged || m.Adopted != adopted
 	c.recordReport(m, found)
+	c.links.workerHeard(r.Type, r.Zone, c.pool.Report, c.now.Steady)
 	if m.Recall != 0 && !recalled && m.Spot {
 		c.fleet.SpotLost()
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -152,6 +152,36 @@
 	MirrorPage = 500
 )
 
+// Links (package reachability).
+const (
+	// LinkQuantile of what was measured counts as the usual most.
+	LinkQuantile = 0.99
+	// LinkSuspectFactor times that is when a link becomes suspect, LinkDownFactor times that
+	// again when it is down: reports come a quarter sooner or later than their interval,
+	// and one that is lost must not take the link down.
+	LinkSuspectFactor = 1.5
+	LinkDownFactor    = 1.5
+	// LinkFloor covers timer steps, and a processor that is busy with others' reports.
+	LinkFloor = 250 * time.Millisecond
+	// LinkLosses is how many requests in a row must be lost before a link is down.
+	LinkLosses = 2
+	// LinkRotate is how often the oldest third of the measured gaps is forgotten.
+	LinkRotate = 30 * time.Second
+	// LinkRefresh is how often the quantiles are reckoned anew, some microseconds a link.
+	LinkRefresh = time.Second
+	// FlapHalfLife, FlapSuppress and FlapReuse hold back links that come and go: at periods of
+	// up to some 20 s they are suppressed, one that fails once a minute is not.
+	FlapHalfLife = 30 * time.Second
+	FlapSuppress = 2.5
+	FlapReuse    = 0.8
+	// FlapLongest bounds for how long a link is held back after its last failure.
+	FlapLongest = time.Minute
+	// ViewInterval is how often controllers tell each other their views, and ViewFreshFor for
+	// how long one counts: two may be lost.
+	ViewInterval = 2 * time.Second
+	ViewFreshFor = 3*ViewInterval + PeerTimeout
+)
+
 // Users.
 const (
 	// SubmitWait is how long a submission may wait for the state service before
--- a/internal/reachability/view.go
+++ b/internal/reachability/view.go
@@ -41,11 +41,6 @@
 	return holds && known, known
 }
 
-// suppressed tells whether a link of a half came and went too often.
-func (v View) suppressed(half Half) bool {
-	return slices.ContainsFunc(v.Links, func(s Status) bool { return s.Link.Kind.half() == half && s.Suppressed })
-}
-
 // half is the half that a kind of link belongs to; empty: neither.
 func (k Kind) half() Half {
 	switch k {
@@ -141,22 +136,3 @@
 	}
 	return extent
 }
-
-// WithBoth lists the other controllers that hold the state service and are not known to lack
-// workers, in the order of names: those to which classes can be handed over. Only an owner is
-// reported to, so a view that says nothing of workers does not count against its node, unless it
-// was an owner whose links to workers came and went until lately.
-func (c *Cluster) WithBoth(now time.Duration) []string {
-	var nodes []string
-	for _, v := range c.Views(now) {
-		if v.Node == c.self {
-			continue
-		}
-		state, _ := v.Holds(StateHalf)
-		workers, known := v.Holds(WorkersHalf)
-		if state && (workers || !known) && !v.suppressed(WorkersHalf) {
-			nodes = append(nodes, v.Node)
-		}
-	}
-	return nodes
-}
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -52,6 +52,7 @@
 	Method  string
 	Path    string
 	Body    any
+	Writes  int // puts and deletes that it asks for
 	Timeout time.Duration
 }
 
@@ -267,7 +268,7 @@
 func (s *Store) send(r *request, timeout time.Duration) {
 	s.nextID++
 	s.inFlight[s.nextID] = &inFlight{req: r, sent: s.now}
-	s.out = append(s.out, Call{ID: s.nextID, Method: r.method, Path: r.path, Body: r.body, Timeout: timeout})
+	s.out = append(s.out, Call{ID: s.nextID, Method: r.method, Path: r.path, Body: r.body, Writes: r.writes, Timeout: timeout})
 }
 
 // CallInfo tells of a call that is under way.
