--- a/internal/controller/mixed_versions_test.go
+++ b/internal/controller/mixed_versions_test.go
@@ -19,6 +19,9 @@
 // knows gangs already.
 const lastLanding = "90080c8"
 
+// beforeLinks is the last version whose controllers know no view of links.
+const beforeLinks = "2c5eb7e"
+
 // productionVersion reads from the deploy file which commit runs in production.
 func productionVersion(t *testing.T, root string) string {
 	t.Helper()
@@ -135,13 +138,17 @@
 	for _, version := range []struct {
 		name, commit string
 		knowsGangs   bool
+		operatorFile string
 	}{
-		{"production", productionVersion(t, root), false},
-		{"last landing", lastLanding, true},
+		{"production", productionVersion(t, root), false, ""},
+		{"last landing", lastLanding, true, ""},
+		{"the view of links switched on", beforeLinks, true, filepath.Join(root, "deploy", "reachability.json")},
 	} {
 		t.Run(version.name, func(t *testing.T) {
 			t.Parallel()
-			playMixedVersions(t, buildVersion(t, root, version.commit), buildPresentVersion(t), version.knowsGangs)
+			cfg := smallProcessConfig()
+			cfg.operatorFile = version.operatorFile
+			playMixedVersions(t, cfg, buildVersion(t, root, version.commit), buildPresentVersion(t), version.knowsGangs)
 		})
 	}
 }
@@ -149,8 +156,8 @@
 // mostAtATime is how many tasks of the wide job fit on all machines of the process world.
 const mostAtATime = 6 * 8 * 4
 
-func playMixedVersions(t *testing.T, old, present string, oldKnowsGangs bool) {
-	c := startProcessCluster(t, smallProcessConfig(), old, 3)
+func playMixedVersions(t *testing.T, cfg simConfig, old, present string, oldKnowsGangs bool) {
+	c := startProcessCluster(t, cfg, old, 3)
 	a, b, last := c.processes[0], c.processes[1], c.processes[2]
 	if !oldKnowsGangs {
 		c.watchForNewRecords(old)
