--- a/internal/reachability/sketch.go
+++ b/internal/reachability/sketch.go
@@ -8,8 +8,8 @@
 
 // Bounds of what a sketch records. Two significant figures make a histogram of about 11 KB.
 const (
-	sketchLeast   = int64(time.Millisecond / time.Millisecond)
-	sketchMost    = int64(2 * time.Minute / time.Millisecond)
+	sketchLeast   = int64(1)                                  // ms
+	sketchMost    = int64(2 * time.Minute / time.Millisecond) // ms
 	sketchFigures = 2
 	sketchWindows = 3
 )
