--- a/internal/controller/fault_injection_test.go
+++ b/internal/controller/fault_injection_test.go
@@ -323,7 +323,7 @@
 		w = guestFillsTheCloud(cfg, seed, sabotage)
 		w.user("job-000002", map[string]any{"docket": "short", "crew": "red", "form": "batch", "urgency": "standard",
 			"sheets": 6, "cores": 8.0, "accelerators": 0.0, "ramGb": 4.0, "loaners": true, "reckonS": 10.0}, 10)
-		began = w.runUntil(40*time.Second, func() bool {
+		began = w.runUntil(250*time.Millisecond, 40*time.Second, func() bool {
 			n := 0
 			for _, m := range w.machines {
 				for id, x := range m.tasks {
@@ -352,7 +352,7 @@
 		gang := gangSpec("red", 5, 8, 10)
 		gang["loaners"] = false
 		w.user("job-000002", gang, 10)
-		began = w.runUntil(40*time.Second, func() bool {
+		began = w.runUntil(250*time.Millisecond, 40*time.Second, func() bool {
 			for key, g := range w.gangs {
 				if key.job.id == "job-000002" && g.began {
 					return true
--- a/internal/controller/knowledge_log.go
+++ b/internal/controller/knowledge_log.go
@@ -16,11 +16,11 @@
 // noteSlowReply counts a reply of the state service and logs a slow one: what it tells is as old
 // as its call, whatever has happened since.
 func (c *Core) noteSlowReply(x StoreReply) {
-	call, ok := c.store.InFlight(x.ID)
+	call, sentAt, ok := c.store.InFlight(x.ID)
 	if !ok || call.IsWatch() {
 		return
 	}
-	took := c.now.Steady - call.SentAt
+	took := c.now.Steady - sentAt
 	c.storeReplies.replies++
 	c.storeReplies.longest = max(c.storeReplies.longest, took)
 	if took < limits.SlowStore {
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"log/slog"
 	"net/http"
 	"time"
@@ -68,32 +69,28 @@
 
 // linkSettings are the built-in settings with what the operators' file changes.
 func linkSettings(o config.Reachability) reachability.Settings {
-	s := reachability.Settings{Quantile: limits.LinkQuantile, SuspectFactor: limits.LinkSuspectFactor, DownFactor: limits.LinkDownFactor, Floor: limits.LinkFloor,
-		LossesForDown: limits.LinkLosses, GuessedLatency: limits.SlowStore, RotateEvery: limits.LinkRotate, RefreshEvery: limits.LinkRefresh,
-		Damper: reachability.DamperSettings{HalfLife: limits.FlapHalfLife, Suppress: limits.FlapSuppress, Reuse: limits.FlapReuse, LongestSuppression: limits.FlapLongest}}
-	if o.SuspectFactor > 0 {
-		s.SuspectFactor = o.SuspectFactor
+	return reachability.Settings{
+		Quantile:       limits.LinkQuantile,
+		SuspectFactor:  cmp.Or(o.SuspectFactor, limits.LinkSuspectFactor),
+		DownFactor:     limits.LinkDownFactor,
+		Floor:          limits.LinkFloor,
+		LossesForDown:  limits.LinkLosses,
+		GuessedLatency: limits.SlowStore,
+		RotateEvery:    limits.LinkRotate,
+		RefreshEvery:   limits.LinkRefresh,
+		Damper: reachability.DamperSettings{
+			HalfLife:           cmp.Or(limits.Seconds(o.FlapHalfLifeS), limits.FlapHalfLife),
+			Suppress:           cmp.Or(o.FlapSuppress, limits.FlapSuppress),
+			Reuse:              cmp.Or(o.FlapReuse, limits.FlapReuse),
+			LongestSuppression: cmp.Or(limits.Seconds(o.FlapLongestS), limits.FlapLongest),
+		},
 	}
-	if o.FlapHalfLifeS > 0 {
-		s.Damper.HalfLife = limits.Seconds(o.FlapHalfLifeS)
-	}
-	if o.FlapSuppress > 0 {
-		s.Damper.Suppress = o.FlapSuppress
-	}
-	if o.FlapReuse > 0 {
-		s.Damper.Reuse = o.FlapReuse
-	}
-	if o.FlapLongestS > 0 {
-		s.Damper.LongestSuppression = limits.Seconds(o.FlapLongestS)
-	}
-	return s
 }
 
 // stateLink is the link that a call to the state service goes over.
 func stateLink(call statestore.Call) reachability.Link {
-	info := statestore.CallInfo{Method: call.Method, Path: call.Path}
 	switch {
-	case info.IsWatch():
+	case call.IsWatch():
 		return stateWatches
 	case call.Writes > 0:
 		return stateWrites
--- a/internal/controller/links_bench_test.go
+++ b/internal/controller/links_bench_test.go
@@ -64,13 +64,7 @@
 		return 0
 	}
 	m.cut(w, o, true)
-	for from := w.now; w.now < from+30*s; {
-		w.run(w.now + 50*time.Millisecond)
-		if m.noticed(o) {
-			return w.now - from
-		}
-	}
-	return 0
+	return w.runUntil(50*time.Millisecond, 30*s, func() bool { return m.noticed(o) })
 }
 
 // BenchmarkFalseSuspicions counts, on days without troubles of five simulated minutes, how often a
--- a/internal/controller/links_test.go
+++ b/internal/controller/links_test.go
@@ -48,7 +48,7 @@
 				w.run(60 * s)
 				o := w.owner()
 				c.cut(w, o, true)
-				if w.runUntil(c.within, func() bool {
+				if w.runUntil(250*time.Millisecond, c.within, func() bool {
 					state, workers := o.losses()
 					return state == c.state && workers == c.workers
 				}) == 0 {
--- a/internal/controller/process_cluster_test.go
+++ b/internal/controller/process_cluster_test.go
@@ -29,7 +29,7 @@
 	w     *simulation
 	start time.Time
 	// exchanges are all requests of users, with their answers.
-	exchanges []history.Exchange
+	exchanges []*history.Exchange
 }
 
 func (r *liveSimulation) pump(stop chan struct{}) {
@@ -94,9 +94,9 @@
 			if err != nil {
 				return
 			}
-			sent := time.Since(r.start)
+			sent := r.recordSent(label, in)
 			status, b := exchange(client, req)
-			r.record(label, in, sent, status, b)
+			r.recordAnswer(sent, status, b)
 			if status != 0 {
 				r.do(func() { answer(status, b) })
 			}
--- a/internal/controller/process_soak_test.go
+++ b/internal/controller/process_soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -19,10 +20,10 @@
 // The seed draws the faults and their times; processes and sockets take their own time, so a
 // rare break may need several runs.
 var (
-	soakFirst  = flag.Uint64("soak.first", 1, "seed of the first day of the fault test on real processes")
-	soakDays   = flag.Uint64("soak.days", 2, "days of the fault test on real processes")
-	soakOps    = flag.String("soak.operator", "", "operators' settings of the controllers in the fault test; empty: none")
-	soakBinary = flag.String("soak.binary", "", "program that the fault test runs; empty: built from the sources")
+	soakFirst    = flag.Uint64("soak.first", 1, "seed of the first day of the fault test on real processes")
+	soakDays     = flag.Uint64("soak.days", 2, "days of the fault test on real processes")
+	soakOperator = flag.String("soak.operator", "", "operators' settings of the controllers in the fault test; empty: none")
+	soakBinary   = flag.String("soak.binary", "", "program that the fault test runs; empty: built from the sources")
 )
 
 const (
@@ -62,7 +63,7 @@
 
 func playSoak(t *testing.T, binary string, seed uint64) {
 	cfg := soakConfig()
-	cfg.operatorFile = *soakOps
+	cfg.operatorFile = *soakOperator
 	c := startProcessCluster(t, cfg, binary, soakNodes)
 	c.waitFor("the first owner", func(w *simulation) bool { return w.store.keys["u/own/small"] != nil })
 	faults := &processFaults{c: c, rng: rand.New(rand.NewPCG(seed, 11)), log: t.Logf}
@@ -96,7 +97,10 @@
 func (c *processCluster) mustKeepHistory() {
 	c.t.Helper()
 	c.world.do(func() {
-		r := history.Recording{Exchanges: c.world.exchanges, Completed: map[string]time.Duration{}}
+		r := history.Recording{Completed: map[string]time.Duration{}}
+		for _, e := range c.world.exchanges {
+			r.Exchanges = append(r.Exchanges, *e)
+		}
 		for id, j := range c.world.w.jobs {
 			if j.doneCount == j.tasks {
 				r.Completed[id] = j.completed
@@ -109,14 +113,15 @@
 	})
 }
 
-// record notes an exchange of a user with a controller.
-func (r *liveSimulation) record(node string, in Input, sent time.Duration, status int, body []byte) {
-	e := history.Exchange{Node: node, SentAt: sent, AnsweredAt: time.Since(r.start), Status: status}
+// recordSent notes a request of a user as it leaves; nil for what is no user's. Guards against a
+// cancellation under way at the end of a day, whose job another node already calls cancelled.
+func (r *liveSimulation) recordSent(node string, in Input) *history.Exchange {
+	e := &history.Exchange{Node: node, SentAt: time.Since(r.start)}
 	switch x := in.(type) {
 	case Submit:
 		s, err := wire.ParseSubmission(x.Body)
 		if err != nil {
-			return
+			return nil
 		}
 		e.Kind, e.Job = history.Submission, s.ID
 	case Query:
@@ -124,17 +129,30 @@
 	case Cancel:
 		e.Kind, e.Job = history.Cancellation, x.ID
 	default:
+		return nil
+	}
+	r.do(func() { r.exchanges = append(r.exchanges, e) })
+	return e
+}
+
+// recordAnswer notes what came of a request.
+func (r *liveSimulation) recordAnswer(e *history.Exchange, status int, body []byte) {
+	if e == nil {
 		return
 	}
+	at := time.Since(r.start)
 	var state wire.JobStatus
+	var err error
 	if status == 200 || status == 201 {
-		if err := wire.Decode(body, &state); err != nil {
-			r.do(func() { r.w.reportBroken("answer", "%s: %v", e.Job, err) })
+		err = wire.Decode(body, &state)
+	}
+	r.do(func() {
+		if err != nil {
+			r.w.reportBroken("answer", "%s: %v", e.Job, err)
 			return
 		}
-		e.State = state.Status
-	}
-	r.do(func() { r.exchanges = append(r.exchanges, e) })
+		e.AnsweredAt, e.Status, e.State = at, status, state.Status
+	})
 }
 
 // processFaults draws faults and ends them again.
@@ -290,12 +308,7 @@
 }
 
 func (f *processFaults) refuse(p *controllerProcess) {
-	w, node := f.c.world.w, 0
-	for i, x := range f.c.processes {
-		if x == p {
-			node = i
-		}
-	}
+	w, node := f.c.world.w, slices.Index(f.c.processes, p)
 	f.c.world.do(func() { w.store.refuse[node] = true })
 	f.lasting("the state service refuses "+p.label, 300*time.Millisecond, 8*time.Second, func() {
 		f.c.world.do(func() {
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -133,11 +133,11 @@
 	w.now = until
 }
 
-// runUntil runs until a condition holds, for so long at the most, and tells how long that took;
-// 0: it never held.
-func (w *simulation) runUntil(most time.Duration, holds func() bool) time.Duration {
+// runUntil runs until a condition holds, looking at each step, for so long at the most, and tells
+// how long that took; 0: it never held.
+func (w *simulation) runUntil(step, most time.Duration, holds func() bool) time.Duration {
 	for from := w.now; w.now < from+most; {
-		w.run(w.now + 250*time.Millisecond)
+		w.run(w.now + step)
 		if holds() {
 			return w.now - from
 		}
--- a/internal/jobs/submissions.go
+++ b/internal/jobs/submissions.go
@@ -13,7 +13,6 @@
 // submission is a job that is to be accepted, with all users who wait for that.
 type submission struct {
 	job     *wire.Job
-	until   time.Duration
 	waiters []*waiter // the first is told 201
 	alone   bool      // in a transaction of its own
 	exists  bool      // the job was accepted before: only its state is still asked for
@@ -53,7 +52,7 @@
 		answer(Answer{Status: 429, Body: wire.ErrorBody{Error: "the state service's budget is used up"}, RetryAfter: int(math.Ceil(wait.Seconds()))})
 		return
 	}
-	s := &submission{job: job, until: w.until, waiters: []*waiter{w}}
+	s := &submission{job: job, waiters: []*waiter{w}}
 	r.submissionsByID[job.ID] = s
 	r.waiting++
 	r.submissions = append(r.submissions, s)
@@ -201,7 +200,7 @@
 }
 
 func (r *Registry) resubmit(s *submission) {
-	if r.now >= s.until {
+	if r.now >= s.waiters[0].until {
 		r.retry(s)
 		return
 	}
--- a/internal/reachability/detector.go
+++ b/internal/reachability/detector.go
@@ -51,7 +51,7 @@
 		return
 	}
 	delete(d.outstanding, id)
-	d.latencies.record(now - left - min(d.waits, now-left))
+	d.latencies.record(max(0, now-left-d.waits))
 	d.lastAnswer = now
 	if refused {
 		d.lastRefused = max(d.lastRefused, left)
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -56,6 +56,9 @@
 	Timeout time.Duration
 }
 
+// IsWatch tells whether the call is a watch, which waits on purpose.
+func (c Call) IsWatch() bool { return strings.HasPrefix(c.Path, "/watch") }
+
 // Reply is what came of a request.
 type Reply struct {
 	Status int
@@ -78,8 +81,9 @@
 }
 
 type inFlight struct {
-	req  *request
+	call Call
 	sent time.Duration
+	done func(Reply)
 }
 
 // tokenBucket is a token bucket on injected time.
@@ -267,27 +271,18 @@
 
 func (s *Store) send(r *request, timeout time.Duration) {
 	s.nextID++
-	s.inFlight[s.nextID] = &inFlight{req: r, sent: s.now}
-	s.out = append(s.out, Call{ID: s.nextID, Method: r.method, Path: r.path, Body: r.body, Writes: r.writes, Timeout: timeout})
-}
-
-// CallInfo tells of a call that is under way.
-type CallInfo struct {
-	Method string
-	Path   string
-	SentAt time.Duration
+	call := Call{ID: s.nextID, Method: r.method, Path: r.path, Body: r.body, Writes: r.writes, Timeout: timeout}
+	s.inFlight[s.nextID] = &inFlight{call: call, sent: s.now, done: r.done}
+	s.out = append(s.out, call)
 }
 
-// IsWatch tells whether the call is a watch, which waits on purpose.
-func (c CallInfo) IsWatch() bool { return strings.HasPrefix(c.Path, "/watch") }
-
-// InFlight returns a call that is under way.
-func (s *Store) InFlight(id uint64) (CallInfo, bool) {
+// InFlight returns a call that is under way, and when it left.
+func (s *Store) InFlight(id uint64) (call Call, sentAt time.Duration, ok bool) {
 	f, ok := s.inFlight[id]
 	if !ok {
-		return CallInfo{}, false
+		return Call{}, 0, false
 	}
-	return CallInfo{Method: f.req.method, Path: f.req.path, SentAt: f.sent}, true
+	return f.call, f.sent, true
 }
 
 // Reply hands over what came of a call: its status, 0 for no answer.
@@ -306,7 +301,7 @@
 		s.pausedUntil = s.now + limits.StoreBackoff
 	case status == 429:
 		s.pausedUntil = s.now + limits.StoreBackoff
-		if f.req.writes > 0 && s.reducedRate > 0 {
+		if f.call.Writes > 0 && s.reducedRate > 0 {
 			s.reducedUntil = s.now + limits.SlowerFor
 			s.SetShare(s.shares[0], s.shares[1])
 		}
@@ -315,7 +310,7 @@
 			s.LastOK = f.sent
 		}
 	}
-	f.req.done(Reply{Status: status, Body: body, SentAt: f.sent, Call: id})
+	f.done(Reply{Status: status, Body: body, SentAt: f.sent, Call: id})
 }
 
 // LastCall is the number of the last call that has left; later ones have larger numbers.
