--- a/internal/controller/simulation_workers_test.go
+++ b/internal/controller/simulation_workers_test.go
@@ -136,8 +136,13 @@
 	inFlight bool
 	nextAt   time.Duration
 	lastSent time.Duration
+	// nextTokenChange is from when a higher token counts as a change again.
+	nextTokenChange time.Duration
 }
 
+// reportTimeout is for how long a worker waits for the answer to a report.
+const reportTimeout = 4 * time.Second
+
 func (m *simMachine) lease() time.Duration {
 	return time.Duration(m.w.cfg.lease * float64(time.Second))
 }
@@ -239,6 +244,18 @@
 
 func (m *simMachine) changed() { m.nextAt = min(m.nextAt, m.lastSent+500*time.Millisecond) }
 
+// seeToken takes note of a token. A higher one counts as a change at most once in half a lease.
+func (m *simMachine) seeToken(token uint64) {
+	if token <= m.token {
+		return
+	}
+	m.token = token
+	if m.w.now >= m.nextTokenChange {
+		m.nextTokenChange = m.w.now + m.lease()/2
+		m.changed()
+	}
+}
+
 func (m *simMachine) report() {
 	w := m.w
 	sent := w.now
@@ -266,19 +283,19 @@
 	if w.chance(w.copies) { // seconds to well over a lease late
 		w.schedule(w.between(1, 2.5*w.cfg.lease), func() { serve(func(int, []byte) {}) })
 	}
-	w.call(m.id, n.label, 4*time.Second, serve, func(status int, b []byte) {
+	w.call(m.id, n.label, reportTimeout, serve, func(status int, b []byte) {
 		m.when(func() {
 			m.inFlight = false
+			if w.now-sent > reportTimeout { // it hung meanwhile
+				status = 0
+			}
 			switch status {
 			case 200:
 				var rep wire.ReportReply
 				if wire.Decode(b, &rep) != nil || m.session != session || rep.Token < m.token {
 					return
 				}
-				if rep.Token > m.token {
-					m.token = rep.Token
-					m.changed()
-				}
+				m.seeToken(rep.Token)
 				m.renewed = sent
 				for _, c := range rep.Commands {
 					m.execute(c)
@@ -313,7 +330,7 @@
 		answer(409, pack(m.message()))
 		return
 	}
-	m.token = o.Token
+	m.seeToken(o.Token)
 	for _, c := range o.Commands {
 		m.execute(c)
 	}
