Renewals: one judge; every answer that renews a machine stops its cancelled tasks

Cause: an action on stale knowledge, and a check in one path and not in another. A report that proved nothing (its worker had not seen the owner's token, or an order's answer had overtaken it) was answered with 200 and no commands: the worker's lease began anew, with cancelled tasks on it. Leaders in series each did so once, and a worker that then hung or heard nothing kept the tasks for another lease. Beside it, an unanswered order for a cancelled job ended renewals only counted from when this node learned of the cancellation, and only if an assignment still told of it.

Change: internal/authority decides whether a report is answered with 200, until when, and with which stops; internal/controller/renewals.go is the one way by which such an answer leaves, and checks it once more: an answer that would leave a cancelled task running is withheld, an error line and a counter tell of it, and the simulation takes it for a broken rule. Orders are kept on the machine by attempt until they can do no more, and are judged from the earliest moment at which a user can have been told. Logs: why a renewal was bounded or withheld, how old a cancellation can be when a node learns of it, when a user was told; counters for each kind of renewal.

Stored keys and peer messages are as they were.

--- a/internal/controller/concurrent_failures_test.go
+++ b/internal/controller/concurrent_failures_test.go
@@ -213,8 +213,7 @@
 	})
 	lateOrders = sabotaged(func(c *Core) {
 		for _, m := range c.pool.Machines {
-			clear(m.DirectSince)
-			clear(m.Unconfirmed)
+			clear(m.Orders)
 		}
 	})
 	unknownsFree = sabotaged(func(c *Core) {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"umberpaddle/internal/authority"
 	"umberpaddle/internal/config"
 	"umberpaddle/internal/fleet"
 	"umberpaddle/internal/jobs"
@@ -76,6 +77,8 @@
 	peerReachedStoreAt time.Duration
 	nextUsageLog       time.Duration
 	storeReplies       replyTimes
+	judge              authority.Judge
+	renewals           renewalCounts
 	nextKnowledgeLog   time.Duration
 	links              *linkMonitor // nil: not switched on
 	toldCounts         map[string][2]int
@@ -119,6 +122,7 @@
 		typesSaved:       map[string]bool{},
 		recordRequested:  map[string]bool{},
 		resolving:        map[string]bool{},
+		judge:            authority.Rules{},
 	}
 	for i := range set.Cluster.Teams {
 		c.teams[set.Cluster.Teams[i].Name] = &set.Cluster.Teams[i]
@@ -161,6 +165,7 @@
 	}
 	c.now.Unix = now.Unix
 	t := c.now.Steady
+	c.jobs.NoteCancellationsKnown(c.ownership.CancellationsKnownThrough())
 	c.ownership.Advance(t)
 	c.store.Advance(t)
 	c.links.noteInput(in, t)
--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -64,7 +64,7 @@
 			c.assign(p.job, p.task, pl)
 			o.tasks = append(o.tasks, p)
 			o.attempts = append(o.attempts, pl.Attempt)
-			m.DirectSince[pl.Attempt] = t
+			m.Orders[pl.Attempt] = &workers.Order{Task: task, SentAt: t}
 			cmds = append(cmds, wire.Command{Verb: wire.VerbLaunch, Task: task, Attempt: pl.Attempt})
 		}
 		if len(cmds) == 0 {
@@ -103,17 +103,13 @@
 	answered := x.Status == 200 || x.Status == 409 || x.Status == 400
 	for i, p := range o.tasks {
 		pl, ok := p.job.Assigned[p.task]
-		if !answered && !x.Unsent {
-			// It may still be carried out, even after a clear.
-			m.Unconfirmed[o.attempts[i]] = true
-		}
+		settleOrder(m, o.attempts[i], answered, x.Unsent)
 		if !ok || pl.Attempt != o.attempts[i] || pl.Delivery != jobs.DirectPending {
 			continue
 		}
 		switch {
 		case x.Unsent:
 			pl.State, pl.Delivery = jobs.Planned, jobs.InReply
-			delete(m.DirectSince, pl.Attempt)
 		case answered:
 			pl.Delivery = jobs.DirectConfirmed
 		default:
@@ -133,6 +129,21 @@
 	c.reconcile(m, nil, true)
 }
 
+// settleOrder takes note of what came of an order for an attempt.
+func settleOrder(m *workers.Machine, attempt uint64, answered, unsent bool) {
+	order := m.Orders[attempt]
+	switch {
+	case order == nil:
+	case unsent:
+		delete(m.Orders, attempt)
+	case answered:
+		order.State = workers.OrderAnswered
+	default:
+		// It may still be carried out, even after a clear.
+		order.State = workers.OrderUnanswered
+	}
+}
+
 // probeSilent asks machines that were not heard in time what they run, by an order
 // without commands: their workers may hang on another node, which answers nothing,
 // or look for this one. Guards against the return of healthy machines, and against
@@ -194,7 +205,7 @@
 // repeatLaunches lists the launches whose order was never answered and which no report
 // shows: the answer to a report repeats them, and the worker ignores what it has.
 func (c *Core) repeatLaunches(m *workers.Machine, cmds []wire.Command) []wire.Command {
-	if len(m.Unconfirmed) == 0 {
+	if !m.HasUnansweredOrders() {
 		return cmds
 	}
 	for _, id := range c.loads[m.ID].taskIDs() {
@@ -215,12 +226,15 @@
 // the attempt again, perhaps while the task runs elsewhere. A completed task that
 // is started again exits at once, so it need not be held unless it is cancelled.
 func (c *Core) mayClear(m *workers.Machine, j *jobs.Job, t wire.TaskReport) bool {
-	if m.Unconfirmed[t.Attempt] {
+	order := m.Orders[t.Attempt]
+	if order == nil {
+		return true
+	}
+	if order.State == workers.OrderUnanswered {
 		return false
 	}
-	at, direct := m.DirectSince[t.Attempt]
-	if !direct || (t.Cause == wire.CauseDone && (j == nil || !j.Cancelled)) {
+	if t.Cause == wire.CauseDone && (j == nil || !j.Cancelled) {
 		return true
 	}
-	return c.now.Steady-at > time.Duration(limits.ClearLeases*float64(c.pool.Lease))
+	return c.now.Steady-order.SentAt > time.Duration(limits.ClearLeases*float64(c.pool.Lease))
 }
--- a/internal/controller/knowledge_log.go
+++ b/internal/controller/knowledge_log.go
@@ -46,5 +46,6 @@
 	c.storeReplies = replyTimes{}
 	c.log(slog.LevelDebug, "knowledge", "leader", c.ownership.Leader(), "terms", c.ownership.Terms(), "leaseValid", c.ownership.LeaseValid(),
 		"revision", mirror.Revision, "mirrorAgeS", (c.now.Steady - mirror.KnownThrough).Seconds(), "cancellationsKnownS", c.cancellationsAge().Seconds(),
-		"replies", times.replies, "slow", times.slow, "longestS", times.longest.Seconds(), "withheldAnswers", c.jobs.WithheldAnswers)
+		"replies", times.replies, "slow", times.slow, "longestS", times.longest.Seconds(), "withheldAnswers", c.jobs.WithheldAnswers,
+		"renewals", c.renewals)
 }
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -51,38 +51,7 @@
 	if rent := c.fleet.Track(r.Machine, fleet.Kind{Class: r.Type, Zone: r.Zone, Spot: r.Spot}, c.now.Steady); rent != nil {
 		rent.Up = true
 	}
-	out := wire.ReportReply{Token: term, Commands: []wire.Command{}}
-	if v == workers.Current {
-		c.dirty = true
-		if c.mayStartCancelled(m) {
-			reply(503, nil)
-			return
-		}
-		out.Commands = c.reconcile(m, out.Commands, false)
-		if c.ownership.MayLaunch() {
-			c.allocateOn(m)
-			out.Commands = c.launchCommands(m, out.Commands)
-			out.Commands = c.repeatLaunches(m, out.Commands)
-		}
-	}
-	// Judged when it leaves: guards against a node that stands still in between.
-	c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: out, Until: c.ownership.ActUntil()})
-}
-
-// mayStartCancelled tells whether an order that was never answered may still start a
-// task of a job that was cancelled a while ago: only the end of the worker's session,
-// which then is not renewed, makes it void. Guards against an order held up for longer
-// than cancel_s.
-func (c *Core) mayStartCancelled(m *workers.Machine) bool {
-	if len(m.Unconfirmed) == 0 {
-		return false
-	}
-	for _, p := range c.loadOf(m.ID).tasks {
-		if p.job.Cancelled && p.job.Assigned[p.task].Delivery == jobs.DirectUnknown && c.now.Steady > p.job.CancelledAt+c.ownership.MaxStaleness {
-			return true
-		}
-	}
-	return false
+	c.renew(x, m, v)
 }
 
 // attempt names one attempt of a task.
@@ -118,9 +87,9 @@
 		}
 	}
 	c.unassignMissing(m, direct)
-	for n := range m.DirectSince {
-		if !c.reportedAttempts[n] && !m.Unconfirmed[n] && !m.DirectInFlight {
-			delete(m.DirectSince, n)
+	for n, order := range m.Orders {
+		if !c.reportedAttempts[n] && order.State != workers.OrderUnanswered && !m.DirectInFlight {
+			delete(m.Orders, n)
 		}
 	}
 	return cmds
--- a/internal/controller/simulation_rules_test.go
+++ b/internal/controller/simulation_rules_test.go
@@ -303,8 +303,7 @@
 		{"a lease taken for over too early", "ran_twice", func(c *Core) { c.pool.Lease = time.Second }},
 		{"orders that may come late forgotten", "ran_ in_use", func(c *Core) {
 			for _, m := range c.pool.Machines {
-				clear(m.DirectSince)
-				clear(m.Unconfirmed)
+				clear(m.Orders)
 			}
 		}},
 		{"completions invented", "not_done", func(c *Core) {
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -397,6 +397,9 @@
 	if n.core.jobs.WithheldAnswers > 0 {
 		n.w.reportBroken("withheld", "%s had an answer older than its request", n.label)
 	}
+	if n.core.renewals.Violations > 0 {
+		n.w.reportBroken("renewal", "%s would have left a cancelled task running", n.label)
+	}
 	for _, term := range n.core.active {
 		if term > n.w.newest {
 			n.w.newest = term
--- a/internal/jobs/cancellations.go
+++ b/internal/jobs/cancellations.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"sort"
 	"time"
 
@@ -41,6 +42,7 @@
 		switch reply.Status {
 		case statestore.OK:
 			r.cacheFinal(a.job, f)
+			r.log(slog.LevelInfo, "cancellation confirmed to its user", "job", a.job, "call", reply.Call)
 			a.answer(finalAnswer(a.job, f))
 		case statestore.Conflict:
 			r.readFinal(a)
@@ -50,13 +52,30 @@
 	})
 }
 
+// ToldLongAgo stands for a cancellation of which users may have been told at any time.
+const ToldLongAgo = time.Duration(math.MinInt64 / 4)
+
+// NoteCancellationsKnown takes note up to when this node knows of all cancellations that users were
+// told. It has to be called before anything newer is taken in: what is learned from then on was
+// told later.
+func (r *Registry) NoteCancellationsKnown(through time.Duration) {
+	if r.store.Mirror.Loaded {
+		r.cancellationsKnown = through
+	}
+}
+
+// IsDone tells whether this node remembers that a job was done.
+func (r *Registry) IsDone(id string) bool {
+	return r.finals[id].Status == wire.StatusDone || r.finalized[id] != nil
+}
+
 func (r *Registry) markCancelled(id string) bool {
 	j := r.Open[id]
 	if j == nil || j.Cancelled {
 		return false
 	}
-	j.Cancelled, j.CancelledAt = true, r.now
-	r.log(slog.LevelInfo, "job cancelled", "job", id)
+	j.Cancelled, j.ToldAfter = true, r.cancellationsKnown
+	r.log(slog.LevelInfo, "job cancelled", "job", id, "toldWithinS", (r.now - j.ToldAfter).Seconds())
 	return true
 }
 
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -49,8 +49,9 @@
 	*wire.Job
 	version   uint64
 	Cancelled bool
-	// CancelledAt is when this node learned of the cancellation.
-	CancelledAt     time.Duration
+	// ToldAfter is the earliest time at which a user can have been told that the job is cancelled:
+	// up to then this node knew of every cancellation that users were told, and not of this one.
+	ToldAfter       time.Duration
 	Done            Bits
 	DoneCount       int
 	durable         Bits
--- a/internal/jobs/registry.go
+++ b/internal/jobs/registry.go
@@ -51,6 +51,9 @@
 	// those that owners were not told of yet.
 	confirmedCancels map[string]time.Duration
 	newCancels       []string
+	// cancellationsKnown is up to when this node knew of every cancellation that users were told
+	// before it took in what is being taken in.
+	cancellationsKnown time.Duration
 
 	lookups         []*lookup
 	openLookups     []*lookup // questions not answered yet, waiting or under way
@@ -78,7 +81,7 @@
 // New makes an empty registry.
 func New(store *statestore.Store, guard func(class string) wire.Guard, format func() int, log func(slog.Level, string, ...any)) *Registry {
 	r := &Registry{store: store, guard: guard, format: format, log: log, Open: map[string]*Job{}, finals: map[string]finalState{}, confirmedCancels: map[string]time.Duration{}, submissionsByID: map[string]*submission{},
-		flushAt: map[string]time.Duration{}, orphanParts: map[string]bool{}, orphanRecords: map[string]bool{}, finalized: map[string]*Job{}}
+		cancellationsKnown: ToldLongAgo, flushAt: map[string]time.Duration{}, orphanParts: map[string]bool{}, orphanRecords: map[string]bool{}, finalized: map[string]*Job{}}
 	r.doneSets = statestore.NewRecordTable(store, keyDoneSets, guard, r.applyDone)
 	return r
 }
@@ -123,7 +126,8 @@
 	// peer told of the cancellation before the record came.
 	_, marked := r.store.Mirror.Get(keyCancelled + id)
 	if marked || r.finals[id].Status == wire.StatusCancelled {
-		j.Cancelled, j.CancelledAt = true, r.now
+		// This node may have known for long.
+		j.Cancelled, j.ToldAfter = true, ToldLongAgo
 	}
 }
 
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -34,11 +34,10 @@
 	Faulty     bool          // fails the tasks that it starts
 	Recall     time.Duration // when the cloud takes it away; 0: not announced
 
-	// Orders sent straight to the worker: one is under way; which attempts were
-	// launched so, and when; which of these may still be carried out.
+	// DirectInFlight: an order sent straight to the worker is under way. Orders are those that
+	// launch tasks, by attempt, until it is certain that they do nothing more.
 	DirectInFlight bool
-	DirectSince    map[uint64]time.Duration
-	Unconfirmed    map[uint64]bool
+	Orders         map[uint64]*Order
 	EndedTasks     map[string]bool // tasks with an ended attempt that is not cleared yet
 
 	// Asked directly in its silence: when next, with which session, and whether the
@@ -95,7 +94,7 @@
 	if m == nil {
 		m = &Machine{ID: id, Class: class, Zone: zone, Spot: spot, LastAnswer: since, LastReport: since,
 			Images: map[string]bool{}, Failures: map[string]int{},
-			DirectSince: map[uint64]time.Duration{}, Unconfirmed: map[uint64]bool{}, EndedTasks: map[string]bool{}}
+			Orders: map[uint64]*Order{}, EndedTasks: map[string]bool{}}
 		p.Machines[id] = m
 		p.sorted = nil
 	}
@@ -113,12 +112,28 @@
 
 // Verdicts.
 const (
-	Stale    Verdict = iota // older than one that was seen: not to be answered with 200
-	Deposed                 // it has seen a higher token than ours
-	Unproven                // ours to answer, but its list proves nothing yet
-	Current                 // its list is the truth about the machine
+	Stale     Verdict = iota // older than one that was seen: not to be answered with 200
+	Deposed                  // it has seen a higher token than ours
+	Overtaken                // ours to answer, but its list is older than that of an order's answer
+	Unproven                 // ours to answer, but its list proves nothing yet: it has not seen our token
+	Current                  // its list is the truth about the machine
 )
 
+// String names a verdict for logs.
+func (v Verdict) String() string {
+	switch v {
+	case Stale:
+		return "stale"
+	case Deposed:
+		return "deposed"
+	case Overtaken:
+		return "overtaken"
+	case Unproven:
+		return "unproven"
+	}
+	return "current"
+}
+
 // Receive judges a report for a class that we own with the given term. Only
 // Current reports change Tasks.
 func (p *Pool) Receive(now time.Duration, r *wire.Report, term uint64, since time.Duration) (*Machine, Verdict) {
@@ -139,12 +154,11 @@
 		// it deserves its own, but its list is old.
 		m.reportSeq = r.Seq
 		m.LastReport, m.LastAnswer, m.Lost = now, now, false
-		return m, Unproven
+		return m, Overtaken
 	}
 	if r.Session != m.Session {
 		// Orders of an earlier session are refused from now on.
-		clear(m.DirectSince)
-		clear(m.Unconfirmed)
+		clear(m.Orders)
 	}
 	m.reportSeq = r.Seq
 	m.Address, m.Class, m.Zone, m.Spot = r.Address, r.Type, r.Zone, r.Spot
@@ -191,8 +205,7 @@
 		return false
 	}
 	if r.Session != m.Session {
-		clear(m.DirectSince)
-		clear(m.Unconfirmed)
+		clear(m.Orders)
 		m.reportSeq = 0
 		// A session that nobody answered yet may have begun at any time until now, and
 		// lasts for a lease. Guards against tasks that ran twice: a worker that reached
