Submissions: a malformed repeat is refused only after a look into the state service

Cause: a submission that lacks a field was refused with 400 from memory. Where an earlier version had accepted it, and this node had just begun or had forgotten the job's end, an accepted job was refused.

Change: both refusals for good, 400 and 422, ask the state service first and are given only if it knows no such job.

TestKnownJobIsNotJudgedAgain expected 400 at once for a job that this node doesn't know, which is the fault. It now demands that nothing is answered before the state service was asked, 400 once that knows nothing, and 200 where it knows the job.

--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -306,18 +306,54 @@
 }
 
 // TestKnownJobIsNotJudgedAgain: a job that an earlier version accepted without a field
-// that this one demands is not refused when its user repeats the submission.
+// that this one demands is not refused when its user repeats the submission, whether this node
+// knows the job or only the state service does. A job that nobody knows is refused, once the
+// state service has said so.
 func TestKnownJobIsNotJudgedAgain(t *testing.T) {
-	c := testCore(t)
-	c.store.Mirror.Loaded = true
 	body := map[string]any{"id": "job-000001", "crew": "blue", "form": "batch"}
-	if a := answerOf(t, c.Step(Now{Steady: time.Second}, Submit{Ref: 1, Body: pack(body)})); a.Status != 400 {
-		t.Errorf("unknown: %d", a.Status)
-	}
-	c.jobs.Open["job-000001"] = &jobs.Job{Job: &wire.Job{ID: "job-000001", Tasks: 1}}
-	for _, o := range c.Step(Now{Steady: 2 * time.Second}, Submit{Ref: 2, Body: pack(body)}) {
-		if a, ok := o.(Answer); ok && a.Ref == 2 && a.Status == 400 {
-			t.Error("known: refused")
+	submit := func(t *testing.T, c *Core, ref uint64) (call StoreCall) {
+		t.Helper()
+		for _, o := range c.Step(Now{Steady: time.Second}, Submit{Ref: ref, Body: pack(body)}) {
+			switch x := o.(type) {
+			case Answer:
+				t.Errorf("answered %d before the state service was asked", x.Status)
+			case StoreCall:
+				if x.Path == "/multi" {
+					call = x
+				}
+			}
 		}
+		if call.ID == 0 {
+			t.Fatal("the state service is not asked")
+		}
+		return call
 	}
+	t.Run("known here", func(t *testing.T) {
+		c := testCore(t)
+		c.store.Mirror.Loaded = true
+		c.jobs.Open["job-000001"] = &jobs.Job{Job: &wire.Job{ID: "job-000001", Tasks: 1}}
+		call := submit(t, c, 1)
+		out := c.Step(Now{Steady: 2 * time.Second}, StoreReply{ID: call.ID, Status: 200, Body: pack(wire.TxnReply{Revision: 9})})
+		if a := answerOf(t, out); a.Status != 200 {
+			t.Errorf("known: %d", a.Status)
+		}
+	})
+	t.Run("known to the state service", func(t *testing.T) {
+		c := testCore(t)
+		c.store.Mirror.Loaded = true
+		call := submit(t, c, 1)
+		out := c.Step(Now{Steady: 2 * time.Second}, StoreReply{ID: call.ID, Status: 409, Body: pack(wire.TxnReply{Revision: 9, Failed: []string{statestore.Root + "o/job-000001"}})})
+		if a := answerOf(t, out); a.Status != 200 {
+			t.Errorf("accepted before: %d", a.Status)
+		}
+	})
+	t.Run("known to nobody", func(t *testing.T) {
+		c := testCore(t)
+		c.store.Mirror.Loaded = true
+		call := submit(t, c, 1)
+		out := c.Step(Now{Steady: 2 * time.Second}, StoreReply{ID: call.ID, Status: 200, Body: pack(wire.TxnReply{Revision: 9})})
+		if a := answerOf(t, out); a.Status != 400 {
+			t.Errorf("unknown: %d", a.Status)
+		}
+	})
 }
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -30,17 +30,20 @@
 }
 
 // submit judges a submission and hands it to the registry of jobs. A known job is never
-// judged again: settings and machine types may have changed since.
+// judged again: settings and machine types may have changed since, and an earlier version may
+// have taken a form that this one would not.
 func (c *Core) submit(x Submit) {
 	s, err := wire.ParseSubmission(x.Body)
-	if err != nil && (s == nil || !c.jobs.Known(s.ID)) {
+	switch {
+	case s == nil:
 		c.answer(x.Ref, refuse(400, err.Error()))
 		return
-	}
-	// Not even its form: an earlier version may have taken what this one would not.
-	if c.jobs.Known(s.ID) {
+	case c.jobs.Known(s.ID):
 		c.jobs.Query(c.now.Steady, s.ID, func(a jobs.Answer) { c.answer(x.Ref, a) })
 		return
+	case err != nil:
+		c.refuseUnknown(x.Ref, s.ID, refuse(400, err.Error()))
+		return
 	}
 	if !c.store.Mirror.Loaded || len(c.fleet.Types) == 0 {
 		c.answer(x.Ref, jobs.RetryLater())
@@ -52,14 +55,7 @@
 		return
 	}
 	if why := c.checkSubmission(s); why != "" {
-		// It may have been accepted under other settings; only the state
-		// service knows. Unknown there: refused for good.
-		c.jobs.Query(c.now.Steady, s.ID, func(a jobs.Answer) {
-			if a.Status == 404 {
-				a = refuse(422, why)
-			}
-			c.answer(x.Ref, a)
-		})
+		c.refuseUnknown(x.Ref, s.ID, refuse(422, why))
 		return
 	}
 	job := s.Job
@@ -67,6 +63,18 @@
 	c.jobs.Submit(c.now.Steady, &job, func(a jobs.Answer) { c.answer(x.Ref, a) })
 }
 
+// refuseUnknown refuses a submission for good if the state service knows no such job. Guards
+// against the repeat of a job that was accepted under other settings or by an earlier version: an
+// answer from memory told its user that it was refused.
+func (c *Core) refuseUnknown(ref uint64, id string, refusal jobs.Answer) {
+	c.jobs.Query(c.now.Steady, id, func(a jobs.Answer) {
+		if a.Status == 404 {
+			a = refusal
+		}
+		c.answer(ref, a)
+	})
+}
+
 // checkSubmission tells why a job can never run, or fills in the types on which it can.
 func (c *Core) checkSubmission(s *wire.Submission) string {
 	team := c.teams[s.Team]
