Tests: what workers really ran is recorded and judged; leaders in series on real processes

The fault test on real processes knew cancelled tasks only from the simulated world's own check. It records now when each task could execute on a machine, until it ended or its machine's lease did, and internal/history judges ran_cancelled from that and from the first 200 that told a user, also for machines that hung.

--- a/internal/controller/process_soak_test.go
+++ b/internal/controller/process_soak_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"umberpaddle/internal/fleet"
 	"umberpaddle/internal/history"
 	"umberpaddle/internal/wire"
 )
@@ -28,23 +29,37 @@
 
 const (
 	soakNodes    = 3
-	soakTroubles = 20 * time.Second // faults are drawn for so long
-	soakEvery    = 1200 * time.Millisecond
-	soakJobs     = 70
+	soakTroubles = 36 * time.Second // faults are drawn for so long
+	soakEvery    = 700 * time.Millisecond
+	soakJobs     = 100
+	soakLongJobs = 30
+	// soakLargeEvery: every so many days have soakLargeFleet machines, the others 24.
+	soakLargeEvery = 4
+	soakLargeFleet = 300
+	soakSmallFleet = 24
 )
 
-// soakConfig has short leases, so that they end within a day.
-func soakConfig() simConfig {
+// soakConfig has short leases, so that they end within a day, and workers that report seldom beside
+// them. A cancellation has just the time in which an owner may act without news, and a lease.
+func soakConfig(seed uint64) simConfig {
 	cfg := smallProcessConfig()
-	cfg.lease, cfg.cancel = 6, 20
+	cfg.report, cfg.lease, cfg.cancel = 2, 9, 23.1
+	cfg.teams[0].CPUsMax = 400
+	machines := soakSmallFleet
+	if seed%soakLargeEvery == 0 {
+		machines = soakLargeFleet
+	}
+	cfg.capacity = map[fleet.Kind]int{{Class: "small", Zone: "a", Spot: true}: machines}
 	return cfg
 }
 
-// TestProcessesUnderRandomFaults runs real controllers on loopback and draws faults from a seed:
-// processes are killed and stopped, links are cut in one direction or both, the state service is
-// slow, refuses nodes, loses answers and carries transactions out late, machines hang, die and
-// hear nothing, reports and orders come late and again. Users submit at several nodes, cancel at
-// once and look at all nodes. The rules are checked from outside.
+// TestProcessesUnderRandomFaults runs real controllers on loopback and draws faults from a seed,
+// two or three of them at a time: processes are killed and stopped, leaders one after the other,
+// links are cut in one direction or both, the state service is slow, refuses nodes, loses answers
+// and carries transactions out late, machines hang, die, are mute and hear nothing, reports and
+// orders come late and again. Users submit at several nodes, cancel at once and in the midst of a
+// run, and look at all nodes. The rules are checked from outside: what users were told, and what
+// the workers really ran.
 func TestProcessesUnderRandomFaults(t *testing.T) {
 	binary := *soakBinary
 	if binary == "" {
@@ -62,10 +77,10 @@
 }
 
 func playSoak(t *testing.T, binary string, seed uint64) {
-	cfg := soakConfig()
+	cfg := soakConfig(seed)
 	cfg.operatorFile = *soakOperator
 	c := startProcessCluster(t, cfg, binary, soakNodes)
-	c.waitFor("the first owner", func(w *simulation) bool { return w.store.keys["u/own/small"] != nil })
+	c.waitFor("the first owner", func(w *simulation) bool { return w.store.keys[ownerKey] != nil })
 	faults := &processFaults{c: c, rng: rand.New(rand.NewPCG(seed, 11)), log: t.Logf}
 	c.world.do(func() {
 		w := c.world.w
@@ -73,6 +88,7 @@
 		for i := range soakJobs {
 			w.schedule(time.Duration(faults.rng.Int64N(int64(soakTroubles))), func() { w.soakJob(fmt.Sprintf("job-%06d", i)) })
 		}
+		w.soakLongJobs(seed%soakLargeEvery == 0)
 	})
 	for end := time.Now().Add(soakTroubles); time.Now().Before(end); {
 		time.Sleep(time.Duration(faults.rng.Int64N(int64(2 * soakEvery))))
@@ -93,11 +109,52 @@
 	}
 }
 
-// mustKeepHistory checks what users were told.
+// soakLongJobs are jobs that users cancel while they run, one after the other until the faults are
+// over.
+func (w *simulation) soakLongJobs(large bool) {
+	tasks := 2
+	if large {
+		tasks = 30
+	}
+	for i := range soakLongJobs {
+		w.schedule(w.between(0, soakTroubles.Seconds()/2), func() {
+			w.user(fmt.Sprintf("job-2%05d", i), spec("blue", tasks, 2, 24), 24)
+		})
+	}
+	end := w.now + soakTroubles
+	var next func()
+	next = func() {
+		if w.now < end {
+			for _, j := range w.longest(1) {
+				w.cancel(j)
+			}
+			w.schedule(w.between(0.5, 2), next)
+		}
+	}
+	w.schedule(w.between(3, 5), next)
+}
+
+// mustKeepHistory checks what users were told, and that what was cancelled ended.
 func (c *processCluster) mustKeepHistory() {
 	c.t.Helper()
 	c.world.do(func() {
-		r := history.Recording{Completed: map[string]time.Duration{}}
+		w := c.world.w
+		r := history.Recording{Completed: map[string]time.Duration{}, CancelWithin: time.Duration(w.cfg.cancel * float64(time.Second))}
+		for _, m := range w.machines {
+			m.checkLease()
+			for _, t := range m.tasks {
+				if m.hung {
+					m.endRun(t)
+				}
+			}
+		}
+		for _, run := range w.runs {
+			ended := *run
+			if ended.Ended == 0 {
+				ended.Ended = w.now
+			}
+			r.Runs = append(r.Runs, ended)
+		}
 		for _, e := range c.world.exchanges {
 			r.Exchanges = append(r.Exchanges, *e)
 		}
@@ -109,7 +166,18 @@
 		for _, v := range history.Check(r) {
 			c.t.Errorf("rule broken: %v", v)
 		}
-		c.t.Logf("%d requests of users, %d starts", len(r.Exchanges), c.world.w.starts)
+		cancelled, changes := 0, 0
+		for _, j := range w.jobs {
+			if j.told == wire.StatusCancelled {
+				cancelled++
+			}
+		}
+		for _, e := range w.store.events {
+			if e.key == ownerKey && e.ev.Put != "" {
+				changes++
+			}
+		}
+		c.t.Logf("%d requests of users, %d starts, %d jobs cancelled, %d changes of owner, %d machines", len(r.Exchanges), w.starts, cancelled, changes, len(w.machines))
 	})
 }
 
@@ -203,7 +271,7 @@
 func (f *processFaults) draw() {
 	f.expire(false)
 	p := f.c.processes[f.rng.IntN(len(f.c.processes))]
-	switch f.rng.IntN(12) {
+	switch f.rng.IntN(20) {
 	case 0:
 		f.killFor(p)
 	case 1:
@@ -222,9 +290,69 @@
 		f.outage()
 	case 9, 10:
 		f.spoilAnswers()
-	case 11:
+	case 11, 12:
 		f.disturbMachine()
+	case 13, 14, 15:
+		f.killOwner()
+	case 16, 17, 18, 19:
+		f.disturbMachines()
+	}
+}
+
+// ownerKey is where the owner of the machine class is recorded.
+const ownerKey = "u/own/small"
+
+// killOwner ends the present owner, so that leaders follow each other.
+func (f *processFaults) killOwner() {
+	var holder struct {
+		Node string `msgpack:"n"`
 	}
+	f.c.world.do(func() {
+		if k := f.c.world.w.store.keys[ownerKey]; k != nil {
+			if err := wire.Decode(k.value, &holder); err != nil {
+				f.c.world.w.reportBroken("owner", "%v", err)
+			}
+		}
+	})
+	for _, p := range f.c.processes {
+		if p.label == holder.Node {
+			f.killFor(p)
+		}
+	}
+}
+
+// disturbMachines makes a third of the machines hang, mute or deaf, each for a while that lies
+// within its lease.
+func (f *processFaults) disturbMachines() {
+	w, kind, seconds := f.c.world.w, f.rng.IntN(3), 2+6.5*f.rng.Float64()
+	f.log("a third of the machines for %.1f s: %s", seconds, []string{"hang", "mute", "deaf"}[kind])
+	d := time.Duration(seconds * float64(time.Second))
+	f.c.world.do(func() {
+		for _, m := range w.created {
+			if !m.up || m.gone || !w.chance(1.0/3) {
+				continue
+			}
+			switch kind {
+			case 0:
+				m.hang(d)
+			case 1:
+				w.muteFor(d)(m)
+			case 2:
+				f.deafenFor(m, d)
+			}
+		}
+	})
+}
+
+// deafenFor keeps answers to reports and direct orders from a machine for a while.
+func (f *processFaults) deafenFor(m *simMachine, d time.Duration) {
+	w := f.c.world.w
+	set := func(on bool) {
+		w.deafen(m.id, on)
+		w.setOneWay("orders", m.id, on)
+	}
+	set(true)
+	w.schedule(d, func() { set(false) })
 }
 
 func (f *processFaults) killFor(p *controllerProcess) {
@@ -350,8 +478,7 @@
 		case 1:
 			m.hang(d)
 		case 2:
-			w.deafen(m.id, true)
-			w.schedule(d, func() { w.deafen(m.id, false) })
+			f.deafenFor(m, d)
 		case 3:
 			m.restart()
 		}
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -10,6 +10,7 @@
 
 	"umberpaddle/internal/config"
 	"umberpaddle/internal/fleet"
+	"umberpaddle/internal/history"
 	"umberpaddle/internal/limits"
 	"umberpaddle/internal/wire"
 )
@@ -33,6 +34,7 @@
 	gangs    map[gangKey]*simGang
 	broken   []string // rules broken
 	starts   int
+	runs     []*history.TaskRun // what the tasks of arrays did, for a judgement from outside
 
 	lag     float64 // most seconds that an ordinary message takes
 	copies  float64 // part of reports of which a copy comes late
--- a/internal/controller/simulation_workers_test.go
+++ b/internal/controller/simulation_workers_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"umberpaddle/internal/fleet"
+	"umberpaddle/internal/history"
 	"umberpaddle/internal/wire"
 )
 
@@ -113,6 +114,7 @@
 	state   wire.TaskState
 	cause   wire.Cause
 	began   time.Duration
+	run     *history.TaskRun // its time on the machine, of arrays
 }
 type simMachine struct {
 	w        *simulation
@@ -183,13 +185,33 @@
 
 func (m *simMachine) checkLease() {
 	if m.up && !m.gone && m.w.now-m.renewed > m.lease() {
-		m.tasks = map[string]*simTask{}
-		m.order = nil
+		m.forgetTasks()
 		m.session++
 		m.renewed = m.w.now
 	}
 }
 
+// forgetTasks ends everything on the machine, at the latest with its lease.
+func (m *simMachine) forgetTasks() {
+	for _, t := range m.tasks {
+		m.endRun(t)
+	}
+	m.tasks, m.order = map[string]*simTask{}, nil
+}
+
+// beginRun records that a task of an array can execute from now on.
+func (m *simMachine) beginRun(t *simTask) {
+	t.run = &history.TaskRun{Job: t.job.id, Task: t.id, Machine: m.id, Began: m.w.now}
+	m.w.runs = append(m.w.runs, t.run)
+}
+
+// endRun records that a task ends, at the latest with the machine's lease.
+func (m *simMachine) endRun(t *simTask) {
+	if t.run != nil && t.run.Ended == 0 {
+		t.run.Ended = min(m.w.now, m.renewed+m.lease())
+	}
+}
+
 func (m *simMachine) hang(d time.Duration) {
 	if m.hung || m.gone || !m.up {
 		return
@@ -211,7 +233,7 @@
 	if m.gone || !m.up {
 		return
 	}
-	m.tasks, m.order = map[string]*simTask{}, nil
+	m.forgetTasks()
 	m.session++
 	if m.w.chance(0.2) {
 		m.session, m.seq = 1, 0
@@ -222,7 +244,7 @@
 func (m *simMachine) die() {
 	if !m.gone {
 		m.gone = true
-		m.tasks = map[string]*simTask{}
+		m.forgetTasks()
 		m.w.cloud.left[m.kind]++
 	}
 }
@@ -368,6 +390,7 @@
 				return
 			}
 			t.state, t.cause = wire.TaskEnded, wire.CauseHalted
+			m.endRun(t)
 		}
 	case wire.VerbLaunch:
 		if t != nil && t.attempt == c.Attempt {
@@ -425,6 +448,7 @@
 		return
 	}
 	t.state = wire.TaskRunning
+	m.beginRun(t)
 	w.checkStart(m, t, j)
 	run := w.between(0.5*j.run, 1.5*j.run)
 	if (m.sick || j.bad) && !j.done[n] {
@@ -436,6 +460,7 @@
 				return
 			}
 			t.state = wire.TaskEnded
+			m.endRun(t)
 			if (m.sick || j.bad) && !j.done[n] {
 				t.cause = wire.CauseError
 			} else {
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -1,7 +1,7 @@
 // Package history judges from outside what users were told: a recording of all requests and
 // answers, each with the times at which it was sent and answered on one clock, is checked
-// against the rules of the protocol. It knows nothing of the controllers' state, and it checks
-// no rule about where tasks run.
+// against the rules of the protocol. It knows nothing of the controllers' state. Of the rules about
+// where tasks run it checks that cancelled ones end, against what the workers really ran.
 package history
 
 import (
@@ -38,9 +38,27 @@
 	return fmt.Sprintf("%s at %s, sent at %.3f s, answered at %.3f s: %d %s", e.Kind, e.Node, e.SentAt.Seconds(), e.AnsweredAt.Seconds(), e.Status, e.State)
 }
 
+// TaskRun is the time that an attempt of a task spent on a machine: from the moment it could
+// execute until it ended, or its machine was gone or had to forget it.
+type TaskRun struct {
+	Job     string
+	Task    string
+	Machine string
+	Began   time.Duration
+	Ended   time.Duration
+}
+
+func (r TaskRun) String() string {
+	return fmt.Sprintf("%s on %s from %.3f to %.3f s", r.Task, r.Machine, r.Began.Seconds(), r.Ended.Seconds())
+}
+
 // Recording is all that was seen from outside.
 type Recording struct {
 	Exchanges []Exchange
+	// Runs are all times that tasks spent on machines, and CancelWithin is the time that the tasks
+	// of a cancelled job have to be gone.
+	Runs         []TaskRun
+	CancelWithin time.Duration
 	// Completed is when the last task of a job was completed.
 	Completed map[string]time.Duration
 }
@@ -54,6 +72,8 @@
 	Forgotten Rule = "forgotten"
 	Invented  Rule = "invented"
 	NotDone   Rule = "not_done"
+	// RanCancelled: a task is on a machine too long after its user was told of the cancellation.
+	RanCancelled Rule = "ran_cancelled"
 )
 
 // Violation is a broken rule.
@@ -63,9 +83,14 @@
 	Answer Exchange
 	// Earlier is the answer that contradicts it, if there is one.
 	Earlier *Exchange
+	// Run is the task that ran on after the answer, if it was one.
+	Run *TaskRun
 }
 
 func (v Violation) String() string {
+	if v.Run != nil {
+		return fmt.Sprintf("%s: %s; told: %s", v.Rule, *v.Run, v.Answer)
+	}
 	if v.Earlier == nil {
 		return fmt.Sprintf("%s: %s: %s", v.Rule, v.Job, v.Answer)
 	}
@@ -107,6 +132,7 @@
 		completed, done := r.Completed[job]
 		broken = append(broken, checkJob(job, list, completed, done)...)
 	}
+	broken = append(broken, checkRuns(r, byJob)...)
 	slices.SortFunc(broken, func(a, b Violation) int {
 		return cmp.Or(cmp.Compare(a.Answer.AnsweredAt, b.Answer.AnsweredAt), cmp.Compare(a.Job, b.Job))
 	})
@@ -144,6 +170,28 @@
 	return broken
 }
 
+// checkRuns checks that the tasks of cancelled jobs were gone in time, counted from the first answer
+// that told a user.
+func checkRuns(r Recording, byJob map[string][]Exchange) (broken []Violation) {
+	for _, run := range r.Runs {
+		told := firstTold(byJob[run.Job], wire.StatusCancelled)
+		if told != nil && run.Ended > told.AnsweredAt+r.CancelWithin {
+			broken = append(broken, Violation{Rule: RanCancelled, Job: run.Job, Answer: *told, Run: &run})
+		}
+	}
+	return broken
+}
+
+// firstTold returns the earliest answer that told a final state, or nil.
+func firstTold(list []Exchange, state wire.JobState) (first *Exchange) {
+	for i, e := range list {
+		if e.says() == final && e.State == state && (first == nil || e.AnsweredAt < first.AnsweredAt) {
+			first = &list[i]
+		}
+	}
+	return first
+}
+
 // earliestSent is when the first request of a kind was sent, or -1.
 func earliestSent(list []Exchange, kind Kind) time.Duration {
 	first := time.Duration(-1)
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -52,3 +52,41 @@
 		})
 	}
 }
+
+// TestCancelledTasksMustEnd: a run is judged from the first answer that told a user of the
+// cancellation, whoever gave it.
+func TestCancelledTasksMustEnd(t *testing.T) {
+	const second = time.Second
+	told := func(at time.Duration, status int, state wire.JobState) Exchange {
+		return Exchange{Kind: Cancellation, Job: "job-1", Node: "a", SentAt: at - second, AnsweredAt: at, Status: status, State: state}
+	}
+	submitted := Exchange{Kind: Submission, Job: "job-1", Node: "a", AnsweredAt: second, Status: 201, State: wire.StatusPending}
+	run := func(job string, began, ended time.Duration) TaskRun {
+		return TaskRun{Job: job, Task: job + "/0", Machine: "i-1", Began: began, Ended: ended}
+	}
+	for _, c := range []struct {
+		name      string
+		exchanges []Exchange
+		runs      []TaskRun
+		want      int
+	}{
+		{"gone in time", []Exchange{told(10*second, 200, wire.StatusCancelled)}, []TaskRun{run("job-1", 2*second, 30*second)}, 0},
+		{"gone too late", []Exchange{told(10*second, 200, wire.StatusCancelled)}, []TaskRun{run("job-1", 2*second, 31*second)}, 1},
+		{"started too late", []Exchange{told(10*second, 200, wire.StatusCancelled)}, []TaskRun{run("job-1", 40*second, 41*second)}, 1},
+		{"each run counts", []Exchange{told(10*second, 200, wire.StatusCancelled)}, []TaskRun{run("job-1", 2*second, 31*second), run("job-1", 3*second, 4*second), run("job-1", 33*second, 34*second)}, 2},
+		{"from the first answer", []Exchange{told(15*second, 200, wire.StatusCancelled), told(10*second, 200, wire.StatusCancelled)}, []TaskRun{run("job-1", 2*second, 31*second)}, 1},
+		{"not told", []Exchange{told(10*second, 503, ""), told(10*second, 0, "")}, []TaskRun{run("job-1", 2*second, 60*second)}, 0},
+		{"another job", []Exchange{told(10*second, 200, wire.StatusCancelled)}, []TaskRun{run("job-2", 2*second, 60*second)}, 0},
+	} {
+		r := Recording{Exchanges: append(c.exchanges, submitted), Runs: c.runs, CancelWithin: 20 * second}
+		broken := Check(r)
+		if len(broken) != c.want {
+			t.Errorf("%s: %v", c.name, broken)
+		}
+		for _, v := range broken {
+			if v.Rule != RanCancelled {
+				t.Errorf("%s: %v", c.name, v)
+			}
+		}
+	}
+}
