Renewals: a machine that may get an earlier owner's order is asked before it is renewed

Cause: until a worker has seen an owner's token, orders of owners before may still be carried out. One that starts a cancelled task between a worker's report and the answer to it came under a renewal that knew nothing of it; users could have been told long before.

Change: where a cancelled job that was launched and is not over was told longer ago than an owner may act without news, a report that has not seen our token is answered only after the machine, asked directly with that token, has said what it runs. Its lease counts from the report. Without its word it is not renewed.

Guards knocked out: stops forgotten break ran_cancelled, and with the second look at answers are found by that. The reading of records after a 410 has a test: it is never taken for newer than its first page's request.

--- a/internal/controller/cancelled_runs_on_test.go
+++ b/internal/controller/cancelled_runs_on_test.go
@@ -3,9 +3,12 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"umberpaddle/internal/authority"
 	"umberpaddle/internal/config"
 	"umberpaddle/internal/fleet"
 	"umberpaddle/internal/jobs"
@@ -23,21 +26,28 @@
 
 const seriesFaults = 200 * time.Second // faults are drawn for so long
 
-// seriesConfig is a deployment whose workers report seldom, beside the time that a cancellation
-// has: two reports that bring nothing take up a part of it that counts.
+// seriesConfigs are deployments whose workers report seldom, beside the time that a cancellation
+// has, and one whose workers report often: two reports that bring nothing take up a part of that
+// time that counts.
+var seriesConfigs = []struct{ report, lease, cancel float64 }{{6, 31, 51}, {4, 22, 42}, {1.5, 14, 34}}
+
 func seriesConfig() simConfig {
 	cfg := standardConfig()
 	cfg.teams = []config.Team{{Name: "red", CPUs: 64, CPUsMax: 400}, {Name: "blue"}}
 	cfg.types = cfg.types[:1]
 	cfg.capacity = map[fleet.Kind]int{{Class: "small", Zone: "a"}: 24}
-	cfg.report, cfg.lease, cfg.cancel = 6, 31, 51
+	cfg.report, cfg.lease, cfg.cancel = seriesConfigs[0].report, seriesConfigs[0].lease, seriesConfigs[0].cancel
 	return cfg
 }
 
 // leadersInSeries plays a day on which leaders change every 2 to 15 s, machines hang, are mute or
-// hear nothing, orders come late, and users cancel long jobs all the while.
+// hear nothing, orders come late, and users cancel long jobs all the while. On some days the
+// controllers have other troubles as well, and read all records anew, in many pages.
 func leadersInSeries(seed uint64, sabotage func(*Core)) *simulation {
-	w := newSimulation(seed, seriesConfig())
+	cfg := seriesConfig()
+	times := seriesConfigs[seed/2%uint64(len(seriesConfigs))]
+	cfg.report, cfg.lease, cfg.cancel = times.report, times.lease, times.cancel
+	w := newSimulation(seed, cfg)
 	w.sabotage = sabotage
 	for i := range 60 {
 		job := spec([]string{"red", "blue"}[i%2], 2+w.rng.IntN(6), 2, 150)
@@ -45,41 +55,54 @@
 	}
 	w.run(quiet)
 	w.stray, w.lost, w.lag = 0.1, 0.02, 0.3
-	end := w.now + seriesFaults
-	again := func(least, most float64, f func()) {
-		var next func()
-		next = func() {
-			if w.now < end {
-				f()
-				w.schedule(w.between(least, most), next)
-			}
-		}
-		w.schedule(w.between(least, most), next)
+	w.repeatedly(2, 15, func() { w.endOwner(w.between(0.2, 4)) })
+	w.repeatedly(3, 9, func() { w.callOff(w.nodes[w.rng.IntN(len(w.nodes))], w.longest(1)) })
+	w.repeatedly(0.5, 2, func() { w.disturbOne(w.between(2, cfg.lease-2)) })
+	if seed%2 == 0 {
+		w.store.late, w.store.unsaid, w.store.slow, w.store.pageRows = 0.05, 0.05, 0.2, 10
+		w.repeatedly(5, 20, w.store.forgetEvents)
+		w.repeatedly(10, 40, func() { w.nodes[w.rng.IntN(len(w.nodes))].freeze(w.between(0.5, 25)) })
+		w.repeatedly(10, 40, func() { w.apart(w.owner(), w.between(2, 25)) })
+		w.repeatedly(20, 60, func() { w.refused(w.owner(), w.between(2, 15)) })
+		w.repeatedly(30, 90, func() { w.outage(w.between(2, cfg.cancel)) })
 	}
-	again(2, 15, func() { w.endOwner(w.between(0.2, 4)) })
-	again(3, 9, func() { w.callOff(w.nodes[w.rng.IntN(len(w.nodes))], w.longest(1)) })
-	again(0.5, 2, func() {
-		m := w.liveMachine()
-		if m == nil {
-			return
-		}
-		d := w.between(2, 29)
-		switch w.rng.IntN(3) {
-		case 0:
-			m.hang(d)
-		case 1:
-			w.muteFor(d)(m)
-		case 2:
-			w.deafFor(d)(m)
-		}
-	})
-	w.run(end)
+	w.run(quiet + seriesFaults)
 	w.stray, w.lost, w.lag = 0, 0, 0
-	w.calm = w.now + 35*time.Second
-	w.run(end + 300*time.Second)
+	w.store.late, w.store.unsaid, w.store.slow = 0, 0, 0
+	w.calm = w.now + time.Duration(2*cfg.lease)*time.Second
+	w.run(w.now + 300*time.Second)
 	return w
 }
 
+// repeatedly does something again and again, after so many seconds each time, until the faults of
+// the day are over.
+func (w *simulation) repeatedly(least, most float64, do func()) {
+	var next func()
+	next = func() {
+		if w.now < quiet+seriesFaults {
+			do()
+			w.schedule(w.between(least, most), next)
+		}
+	}
+	w.schedule(w.between(least, most), next)
+}
+
+// disturbOne makes one machine hang, mute or deaf for a while.
+func (w *simulation) disturbOne(d time.Duration) {
+	m := w.liveMachine()
+	if m == nil {
+		return
+	}
+	switch w.rng.IntN(3) {
+	case 0:
+		m.hang(d)
+	case 1:
+		w.muteFor(d)(m)
+	case 2:
+		w.deafFor(d)(m)
+	}
+}
+
 // TestCancelledTasksEndWhileLeadersChange guards against a cancelled task that ran on because
 // leaders that followed each other answered its machine without a stop.
 func TestCancelledTasksEndWhileLeadersChange(t *testing.T) {
@@ -92,6 +115,49 @@
 	}
 }
 
+// forgetfulJudge renews machines as if nothing on them were cancelled.
+type forgetfulJudge struct {
+	authority.Rules
+	unchecked bool // answers leave without a second look
+}
+
+func (j forgetfulJudge) JudgeRenewal(r authority.Renewal) authority.Verdict {
+	r.Listed = nil
+	return j.Rules.JudgeRenewal(r)
+}
+
+func (j forgetfulJudge) CheckAnswer(r authority.Renewal, commands []wire.Command) error {
+	if j.unchecked {
+		return nil
+	}
+	return j.Rules.CheckAnswer(r, commands)
+}
+
+// TestForgottenStopsAreCaught: with a judge that forgets the stops the rule breaks on some of the
+// days; as long as each answer is looked at once more, that look finds it first.
+func TestForgottenStopsAreCaught(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		judge  authority.Judge
+		breaks string
+	}{
+		{"unchecked", forgetfulJudge{unchecked: true}, "ran_cancelled"},
+		{"checked", forgetfulJudge{}, "renewal"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= guardOutSeeds; seed++ {
+				for _, b := range leadersInSeries(seed, func(c *Core) { c.judge = x.judge }).broken {
+					if strings.HasPrefix(b, x.breaks) {
+						return
+					}
+				}
+			}
+			t.Errorf("no day broke %s", x.breaks)
+		})
+	}
+}
+
 // ownerOfLongTasks is an owner with a machine that runs tasks of one job, which nobody else's
 // messages reach from now on: the test steps it.
 type ownerOfLongTasks struct {
@@ -246,6 +312,81 @@
 	})
 }
 
+// TestEarlierOwnersOrdersCannotStartCancelledTasks: users were told long ago of a cancellation, and
+// a machine reports that has not seen this owner's token: an order of the owner before may reach it
+// until the answer does. It is asked directly first, and its report is answered by what it says.
+func TestEarlierOwnersOrdersCannotStartCancelledTasks(t *testing.T) {
+	play := func(t *testing.T) (o *ownerOfLongTasks, call DirectCall) {
+		o = newOwnerOfLongTasks(t)
+		o.order(true)
+		o.core.jobs.Open["job-000002"].Prepared = true
+		o.passWithNews(o.core.ownership.MaxStaleness+2*time.Second, "job-000002")
+		o.markLaunched("job-000002")
+		clear(o.machine.Orders) // the owner before sent it
+		o.machine.DirectInFlight = false
+		m := o.machine
+		out := o.step(Checkin{Ref: 1 << 40, Report: &wire.Report{Machine: m.ID, Address: m.Address, Type: m.Class, Zone: m.Zone, Spot: m.Spot,
+			Session: m.Session, Seq: m.Seq + 1, Token: m.Term - 1, Tasks: m.Tasks}})
+		for _, x := range out {
+			switch x := x.(type) {
+			case Answer:
+				t.Fatalf("answered %d before the machine was asked", x.Status)
+			case DirectCall:
+				call = x
+			}
+		}
+		if call.ID == 0 {
+			t.Fatal("the machine is not asked")
+		}
+		if call.Body.Token != m.Term || call.Body.Session != m.Session {
+			t.Errorf("asked with %+v", call.Body)
+		}
+		return o, call
+	}
+	t.Run("the task was started", func(t *testing.T) {
+		o, call := play(t)
+		m := o.machine
+		tasks := append(slices.Clone(m.Tasks), wire.TaskReport{Task: "job-000002/0", Attempt: 7, State: wire.TaskFetching})
+		body := pack(&wire.Report{Machine: m.ID, Address: m.Address, Type: m.Class, Zone: m.Zone, Spot: m.Spot, Session: m.Session, Seq: m.Seq + 1, Token: m.Term, Tasks: tasks})
+		a := answerOf(t, o.step(DirectReply{ID: call.ID, Status: 200, Body: body}))
+		if a.Status != 200 || a.Ref != 1<<40 {
+			t.Errorf("answer %+v", a)
+		}
+		o.mustStop(a, tasks[len(tasks)-1:])
+	})
+	for _, x := range []struct {
+		name  string
+		reply DirectReply
+	}{{"it does not answer", DirectReply{}}, {"it is not reached", DirectReply{Unsent: true}}, {"it answers something else", DirectReply{Status: 400}}} {
+		t.Run(x.name, func(t *testing.T) {
+			o, call := play(t)
+			x.reply.ID = call.ID
+			if a := answerOf(t, o.step(x.reply)); a.Status != 503 || a.Ref != 1<<40 {
+				t.Errorf("answer %+v", a)
+			}
+		})
+	}
+	t.Run("the class is another's by then", func(t *testing.T) {
+		o, call := play(t)
+		m := o.machine
+		body := pack(&wire.Report{Machine: m.ID, Type: m.Class, Session: m.Session, Seq: m.Seq + 1, Token: m.Term, Tasks: m.Tasks})
+		o.core.leaveClass(m.Class)
+		if a := answerOf(t, o.step(DirectReply{ID: call.ID, Status: 200, Body: body})); a.Status != 503 {
+			t.Errorf("answer %+v", a)
+		}
+	})
+}
+
+// markLaunched lets a job's record of a launch be read, and what follows from it be worked out.
+func (o *ownerOfLongTasks) markLaunched(id string) {
+	o.core.jobs.Apply(statestore.Change{Key: statestore.Root + "q/" + id + "/0", Entry: statestore.Entry{Value: pack(map[string]any{"d": ""}), Version: 1 << 41}})
+	o.core.jobsChanged = true
+	o.step(Tick{})
+	if !o.core.jobs.Open[id].Launched() {
+		o.t.Fatal("the job does not pass for launched")
+	}
+}
+
 // order lets the owner send its machine an order that starts a task of another job, and tells it,
 // if timedOut, that no answer came.
 func (o *ownerOfLongTasks) order(timedOut bool) {
--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -38,6 +38,7 @@
 	tasks    []taskRef
 	attempts []uint64 // their attempts
 	probe    bool     // without commands: what does the machine run?
+	held     *Checkin // a report whose answer waits for what the machine runs
 }
 
 // sendDirectLaunches tells machines at once what was planned for them. Unlike an answer
@@ -89,14 +90,22 @@
 		c.probesInFlight--
 	}
 	m := c.pool.Machines[o.machine]
-	if m == nil {
-		return
+	if m != nil {
+		m.DirectInFlight = false
 	}
-	m.DirectInFlight = false
-	if o.probe {
-		c.probeReplied(m, o, x)
-		return
+	switch {
+	case o.probe:
+		proved := m != nil && c.probeReplied(m, o, x)
+		if o.held != nil {
+			c.answerHeld(*o.held, m, proved)
+		}
+	case m != nil:
+		c.launchesReplied(m, o, x)
 	}
+}
+
+// launchesReplied takes in what came of an order that launches tasks.
+func (c *Core) launchesReplied(m *workers.Machine, o *directCall, x DirectReply) {
 	if m.Term != o.term || m.Session != o.session {
 		return // the order is void by now, and reconcile has judged its tasks
 	}
@@ -167,28 +176,31 @@
 
 // sendUntracked sends a machine commands that need no account of their own, or none: stops may
 // be carried out late, and again. The answer tells what it runs.
-func (c *Core) sendUntracked(m *workers.Machine, session uint64, cmds []wire.Command) {
+func (c *Core) sendUntracked(m *workers.Machine, session uint64, cmds []wire.Command) *directCall {
 	term := c.active[m.Class]
 	m.DirectInFlight = true
 	c.probesInFlight++
 	c.lastDirectCall++
-	c.directCalls[c.lastDirectCall] = &directCall{machine: m.ID, session: session, term: term, probe: true}
+	call := &directCall{machine: m.ID, session: session, term: term, probe: true}
+	c.directCalls[c.lastDirectCall] = call
 	c.out = append(c.out, DirectCall{ID: c.lastDirectCall, Address: m.Address, Body: wire.Orders{Token: term, Session: session, Commands: cmds}, Until: c.ownership.ActUntil()})
+	return call
 }
 
-// probeReplied takes in what a silent machine answered.
-func (c *Core) probeReplied(m *workers.Machine, o *directCall, x DirectReply) {
+// probeReplied takes in what a machine answered that was asked what it runs. It tells whether that
+// is the truth about the machine.
+func (c *Core) probeReplied(m *workers.Machine, o *directCall, x DirectReply) (proved bool) {
 	if c.active[m.Class] != o.term {
-		return
+		return false
 	}
 	r := &wire.Report{}
 	if (x.Status != 200 && x.Status != 409) || wire.Decode(x.Body, r) != nil || r.Machine != m.ID {
 		m.ProbeFailed = true
-		return
+		return false
 	}
 	resolved, found := m.Resolved(), m.Term == o.term
 	if !c.pool.ReceiveProbe(c.now.Steady, m, r, o.term, o.session) {
-		return
+		return false
 	}
 	// Guards against machines that a new owner returned as never come up, with their
 	// tasks, although they had answered it.
@@ -200,6 +212,7 @@
 	c.dirty = true
 	c.jobsChanged = c.jobsChanged || !resolved
 	c.reconcile(m, nil, true)
+	return true
 }
 
 // repeatLaunches lists the launches whose order was never answered and which no report
--- a/internal/controller/simulation_store_test.go
+++ b/internal/controller/simulation_store_test.go
@@ -49,6 +49,8 @@
 	held     float64             // part of answers that leave up to 1.2 s after the request was carried out
 	now      *config.StateLimits // limits that it holds to; nil: those of the settings
 	tooLarge int                 // transactions refused for their size
+	oldest   uint64              // watches since an earlier revision get 410
+	pageRows int                 // most rows of a page; 0: as many as were asked for
 	changes  float64             // left of a second's budget of changes
 	filled   time.Duration
 }
@@ -63,6 +65,19 @@
 	}
 }
 
+// forgetEvents drops the history of changes: whoever watches has to read all records anew.
+func (s *simStore) forgetEvents() {
+	s.oldest = s.revision
+	watches := s.watches
+	s.watches = nil
+	for _, x := range watches {
+		if !x.done {
+			x.done = true
+			x.answer(410, nil)
+		}
+	}
+}
+
 func (s *simStore) expire() {
 	if s.outage {
 		return
@@ -149,6 +164,10 @@
 	case u.Path == "/watch":
 		since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
 		hold, _ := strconv.ParseInt(q.Get("holdMs"), 10, 64)
+		if since < s.oldest {
+			answer(410, nil)
+			return
+		}
 		x := &simWatch{node: node, prefix: q.Get("starts"), since: since, answer: answer}
 		s.watches = append(s.watches, x)
 		s.w.schedule(time.Duration(hold)*time.Millisecond, func() {
@@ -161,6 +180,9 @@
 	case u.Path == "/kv":
 		rows := []map[string]any{}
 		page, _ := strconv.Atoi(q.Get("page"))
+		if s.pageRows > 0 {
+			page = min(page, s.pageRows)
+		}
 		more := false
 		for _, k := range sortedKeys(s.keys) {
 			if !strings.HasPrefix(k, q.Get("starts")) || k <= q.Get("since") {
--- a/internal/statestore/store_test.go
+++ b/internal/statestore/store_test.go
@@ -184,3 +184,48 @@
 		t.Errorf("%d of 5 records and %d completions went", records, completions)
 	}
 }
+
+// TestReadingAnewIsNoNewerThanItsFirstPage: after a 410 all keys are read anew, page by page. What
+// is written meanwhile, before the place that was read last, is not in the pages: it comes with the
+// watch from the first page's revision, and until then the mirror must not pass for newer than the
+// first page's request.
+func TestReadingAnewIsNoNewerThanItsFirstPage(t *testing.T) {
+	s, watch := loaded(t)
+	cancelled, job := Root+"c/job-1", Root+"o/job-1"
+	s.Reply(2*time.Second, watch, 410, nil)
+	next := func(now time.Duration, want string) uint64 {
+		t.Helper()
+		calls := s.Tick(now)
+		if len(calls) != 1 || !strings.Contains(calls[0].Path, want) {
+			t.Fatalf("at %v: %+v", now, calls)
+		}
+		return calls[0].ID
+	}
+	row := func(key string, version uint64) map[string]any {
+		return map[string]any{"path": key, "v": true, "stamp": version}
+	}
+	before := s.Mirror.KnownThrough
+	first := next(3*time.Second, "/kv?")
+	s.Reply(4*time.Second, first, 200, pack(t, map[string]any{"rows": []any{row(Root+"a", 3)}, "hasNext": true, "ledger": 10}))
+	// Now job-1 is accepted here, in revision 11, and cancelled, in revision 12, elsewhere.
+	second := next(5*time.Second, "since="+"u%2Fa")
+	s.Mirror.Put(job, pack(t, true), 11)
+	if s.Mirror.KnownThrough != before {
+		t.Errorf("in the midst of the reading the mirror goes up to %v", s.Mirror.KnownThrough)
+	}
+	s.Reply(6*time.Second, second, 200, pack(t, map[string]any{"rows": []any{row(Root+"z", 4)}, "ledger": 12}))
+	if s.Mirror.KnownThrough != 3*time.Second {
+		t.Errorf("read from 3 s on, and goes up to %v", s.Mirror.KnownThrough)
+	}
+	third := next(7*time.Second, "since=10")
+	s.Reply(8*time.Second, third, 200, pack(t, map[string]any{"ledger": 12, "news": []any{
+		map[string]any{"put": job, "v": true, "stamp": 11}, map[string]any{"put": cancelled, "v": true, "stamp": 12}}}))
+	for _, key := range []string{job, cancelled} {
+		if _, ok := s.Mirror.Get(key); !ok {
+			t.Errorf("%s is missing", key)
+		}
+	}
+	if s.Mirror.KnownThrough != 7*time.Second {
+		t.Errorf("watched at 7 s, and goes up to %v", s.Mirror.KnownThrough)
+	}
+}
