Tests: a cancellation missing from the list that a node vouches for; known red

A cancellation that was told over two minutes ago is left out of the list once, as it moves from one list to another; if the node never read the job, for good.

--- a/internal/jobs/stale_answers_test.go
+++ b/internal/jobs/stale_answers_test.go
@@ -1,8 +1,11 @@
 package jobs
 
 import (
+	"slices"
 	"testing"
+	"time"
 
+	"umberpaddle/internal/limits"
 	"umberpaddle/internal/statestore"
 	"umberpaddle/internal/wire"
 )
@@ -122,3 +125,34 @@
 	}
 	mustTell(t, (*first)[0], wire.StatusCancelled)
 }
+
+// TestPeersAreToldOfEveryCancellation: what this node vouches for must hold each cancellation that
+// it told a user of, as long as tasks of the job may be left. Guards against one that is passed on
+// no more after a while, at the moment at which it is in no list, and against one whose job this
+// node has not read.
+func TestPeersAreToldOfEveryCancellation(t *testing.T) {
+	const id = "job-1"
+	confirm := func(t *testing.T) *bench {
+		b := newBench(t)
+		b.registry.cacheFinal(id, finalState{Status: wire.StatusCancelled})
+		return b
+	}
+	for _, c := range []struct {
+		name string
+		open bool
+	}{{"its job is known", true}, {"its job has not been read", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := confirm(t)
+			if c.open {
+				raw := b.pack(&wire.Job{ID: id, Tasks: 1, Types: []string{"c"}})
+				b.registry.Apply(statestore.Change{Key: keyJob + id, Entry: statestore.Entry{Value: raw, Version: 9}})
+			}
+			for _, after := range []time.Duration{0, limits.CancelNoticeFor, limits.CancelNoticeFor + time.Second, 2 * limits.CancelNoticeFor} {
+				b.registry.now = b.now + after
+				if got := b.registry.Cancellations(); !slices.Contains(got, id) {
+					t.Errorf("%v after its user was told, peers are told of %v only", after, got)
+				}
+			}
+		})
+	}
+}
