--- a/internal/controller/process_cluster_test.go
+++ b/internal/controller/process_cluster_test.go
@@ -288,7 +288,7 @@
 }
 
 // waitLimit only bounds a broken run.
-const waitLimit = 90 * time.Second
+const waitLimit = 150 * time.Second
 
 // waitFor waits until a condition on the simulated world holds, as long as no rule breaks.
 func (c *processCluster) waitFor(what string, holds func(w *simulation) bool) {
--- a/internal/controller/process_soak_test.go
+++ b/internal/controller/process_soak_test.go
@@ -29,21 +29,23 @@
 
 const (
 	soakNodes    = 3
-	soakTroubles = 36 * time.Second // faults are drawn for so long
-	soakEvery    = 700 * time.Millisecond
+	soakTroubles = 60 * time.Second // faults are drawn for so long
+	soakEvery    = 500 * time.Millisecond
 	soakJobs     = 100
-	soakLongJobs = 30
+	soakLongJobs = 60
+	soakLongRun  = 150.0 // seconds
 	// soakLargeEvery: every so many days have soakLargeFleet machines, the others 24.
 	soakLargeEvery = 4
 	soakLargeFleet = 300
 	soakSmallFleet = 24
 )
 
-// soakConfig has short leases, so that they end within a day, and workers that report seldom beside
-// them. A cancellation has just the time in which an owner may act without news, and a lease.
+// soakConfig is a deployment whose workers report seldom, and whose lease is longer than an owner may
+// act without news, as in production: what renews a worker late lasts beyond the time that a
+// cancellation has.
 func soakConfig(seed uint64) simConfig {
 	cfg := smallProcessConfig()
-	cfg.report, cfg.lease, cfg.cancel = 2, 9, 23.1
+	cfg.report, cfg.lease, cfg.cancel = 3, 20, 34.1
 	cfg.teams[0].CPUsMax = 400
 	machines := soakSmallFleet
 	if seed%soakLargeEvery == 0 {
@@ -109,8 +111,8 @@
 	}
 }
 
-// soakLongJobs are jobs that users cancel while they run, one after the other until the faults are
-// over.
+// soakLongJobs are jobs that users cancel while they run, one after the other, and the rest when
+// the faults are over. Their tasks would run for longer than a cancellation has.
 func (w *simulation) soakLongJobs(large bool) {
 	tasks := 2
 	if large {
@@ -118,7 +120,7 @@
 	}
 	for i := range soakLongJobs {
 		w.schedule(w.between(0, soakTroubles.Seconds()/2), func() {
-			w.user(fmt.Sprintf("job-2%05d", i), spec("blue", tasks, 2, 24), 24)
+			w.user(fmt.Sprintf("job-2%05d", i), spec("blue", tasks, 2, soakLongRun), soakLongRun)
 		})
 	}
 	end := w.now + soakTroubles
@@ -129,6 +131,12 @@
 				w.cancel(j)
 			}
 			w.schedule(w.between(0.5, 2), next)
+			return
+		}
+		for _, id := range sortedKeys(w.jobs) {
+			if j := w.jobs[id]; j.run == soakLongRun && !j.cancelAsk {
+				w.cancel(j)
+			}
 		}
 	}
 	w.schedule(w.between(3, 5), next)
@@ -271,9 +279,9 @@
 func (f *processFaults) draw() {
 	f.expire(false)
 	p := f.c.processes[f.rng.IntN(len(f.c.processes))]
-	switch f.rng.IntN(20) {
+	switch f.rng.IntN(28) {
 	case 0:
-		f.killFor(p)
+		f.killFor(p, 4*time.Second)
 	case 1:
 		f.killAll()
 	case 2, 3:
@@ -292,9 +300,9 @@
 		f.spoilAnswers()
 	case 11, 12:
 		f.disturbMachine()
-	case 13, 14, 15:
+	case 13, 14, 15, 16, 17, 18:
 		f.killOwner()
-	case 16, 17, 18, 19:
+	default:
 		f.disturbMachines()
 	}
 }
@@ -316,7 +324,7 @@
 	})
 	for _, p := range f.c.processes {
 		if p.label == holder.Node {
-			f.killFor(p)
+			f.killFor(p, time.Second)
 		}
 	}
 }
@@ -324,7 +332,7 @@
 // disturbMachines makes a third of the machines hang, mute or deaf, each for a while that lies
 // within its lease.
 func (f *processFaults) disturbMachines() {
-	w, kind, seconds := f.c.world.w, f.rng.IntN(3), 2+6.5*f.rng.Float64()
+	w, kind, seconds := f.c.world.w, f.rng.IntN(3), 3+14*f.rng.Float64()
 	f.log("a third of the machines for %.1f s: %s", seconds, []string{"hang", "mute", "deaf"}[kind])
 	d := time.Duration(seconds * float64(time.Second))
 	f.c.world.do(func() {
@@ -355,18 +363,19 @@
 	w.schedule(d, func() { set(false) })
 }
 
-func (f *processFaults) killFor(p *controllerProcess) {
+// killFor ends a process, which is back within a time.
+func (f *processFaults) killFor(p *controllerProcess, most time.Duration) {
 	if p.command == nil {
 		return
 	}
 	binary := p.binary
 	f.c.kill(p)
-	f.lasting(p.label+" is killed", 100*time.Millisecond, 4*time.Second, func() { f.c.start(p, binary) })
+	f.lasting(p.label+" is killed", 100*time.Millisecond, most, func() { f.c.start(p, binary) })
 }
 
 func (f *processFaults) killAll() {
 	for _, p := range f.c.processes {
-		f.killFor(p)
+		f.killFor(p, 4*time.Second)
 	}
 }
 
