Reports and machines: files by duty

Taking a report in, redirecting it, and what follows from ended tasks are functions and files of their own; so are a machine, its orders, and what a report proves. No change of behaviour.

--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -14,33 +14,45 @@
 // checkin answers a worker's report.
 func (c *Core) checkin(x Checkin) {
 	r := x.Report
-	reply := func(status int, body any) { c.out = append(c.out, Answer{Ref: x.Ref, Status: status, Body: body}) }
 	term, ours := c.active[r.Type]
 	if !ours {
-		c.lastForeignArrival = c.now.Steady
-		if o := c.ownership.Owner(r.Type); o != "" && o != c.settings.Label {
-			reply(421, wire.Redirect{Owner: o})
-		} else {
-			reply(503, nil)
-		}
+		c.redirect(x)
 		return
 	}
 	c.lastArrival = c.now.Steady
 	// A deleted machine's late report must not bring it back.
 	if !c.ownership.MayAnswer() || c.fleet.IsGone(r.Machine) || r.Machine == "" {
-		reply(503, nil)
+		c.out = append(c.out, Answer{Ref: x.Ref, Status: 503})
+		return
+	}
+	m, proved := c.receive(r, term)
+	if proved == workers.Stale || proved == workers.Deposed {
+		c.log(slog.LevelDebug, "report not taken", "machine", r.Machine, "session", r.Session, "seq", r.Seq, "token", r.Token, "term", term, "why", proved.String())
+		c.out = append(c.out, Answer{Ref: x.Ref, Status: 503})
 		return
 	}
+	c.renew(x, m, proved)
+}
+
+// redirect answers a report for a class that this node doesn't own.
+func (c *Core) redirect(x Checkin) {
+	c.lastForeignArrival = c.now.Steady
+	if owner := c.ownership.Owner(x.Report.Type); owner != "" && owner != c.settings.Label {
+		c.out = append(c.out, Answer{Ref: x.Ref, Status: 421, Body: wire.Redirect{Owner: owner}})
+		return
+	}
+	c.out = append(c.out, Answer{Ref: x.Ref, Status: 503})
+}
+
+// receive takes in a report for a class of ours, and tells what it proves.
+func (c *Core) receive(r *wire.Report, term uint64) (m *workers.Machine, proved workers.Verdict) {
 	var adopted, recalled, found bool
 	if m := c.pool.Machines[r.Machine]; m != nil {
 		adopted, recalled, found = m.Adopted, m.Recall != 0, m.Term == term
 	}
-	m, v := c.pool.Receive(c.now.Steady, r, term, c.ownership.Claims()[r.Type].Since)
-	switch v {
-	case workers.Stale, workers.Deposed:
-		c.log(slog.LevelDebug, "report not taken", "machine", r.Machine, "session", r.Session, "seq", r.Seq, "token", r.Token, "term", term)
-		reply(503, nil)
-		return
+	m, proved = c.pool.Receive(c.now.Steady, r, term, c.ownership.Claims()[r.Type].Since)
+	if proved == workers.Stale || proved == workers.Deposed {
+		return m, proved
 	}
 	c.jobsChanged = c.jobsChanged || m.Adopted != adopted
 	c.recordReport(m, found)
@@ -51,7 +63,7 @@
 	if rent := c.fleet.Track(r.Machine, fleet.Kind{Class: r.Type, Zone: r.Zone, Spot: r.Spot}, c.now.Steady); rent != nil {
 		rent.Up = true
 	}
-	c.renew(x, m, v)
+	return m, proved
 }
 
 // attempt names one attempt of a task.
@@ -202,109 +214,6 @@
 	return left > (m.Recall - c.now.Steady).Seconds()
 }
 
-// taskEnded takes in the end of an attempt. The outcome must be durable before the
-// worker may forget it; only a completion has an outcome that matters.
-func (c *Core) taskEnded(m *workers.Machine, j *jobs.Job, id string, task int, t wire.TaskReport, cmds []wire.Command, may bool) []wire.Command {
-	may = may && c.mayClear(m, j, t)
-	if !may {
-		m.EndedTasks[id] = true
-	}
-	forget := false
-	switch {
-	case j == nil:
-		forget = c.store.Mirror.Loaded
-	case t.Cause == wire.CauseDone:
-		c.taskDone(m, j, task, t)
-		forget = j.IsDurable(task) || j.Cancelled
-	default:
-		c.taskNotDone(m, j, task, t)
-		forget = true
-	}
-	if forget && may {
-		cmds = append(cmds, wire.Command{Verb: wire.VerbClear, Task: id, Attempt: t.Attempt})
-	}
-	return cmds
-}
-
-// assignedHere tells whether a reported attempt is the one that a task has.
-func assignedHere(m *workers.Machine, j *jobs.Job, task int, t wire.TaskReport) bool {
-	a, ok := j.Assigned[task]
-	return ok && a.Machine == m.ID && a.Attempt == t.Attempt
-}
-
-// taskDone takes in a completed task, whatever attempt of it that was.
-func (c *Core) taskDone(m *workers.Machine, j *jobs.Job, task int, t wire.TaskReport) {
-	if j.Gang {
-		c.gangEnded(j, t)
-	}
-	if a, ok := j.Assigned[task]; ok && (assignedHere(m, j, task, t) || a.State == jobs.Planned) {
-		c.unassign(j, task)
-	}
-	if !j.Done.Has(task) {
-		m.Failures = map[string]int{}
-		j.Succeeded = true
-		j.Backoff = 0
-		j.MarkDone(task)
-	}
-}
-
-// taskNotDone takes in an attempt that ended otherwise.
-func (c *Core) taskNotDone(m *workers.Machine, j *jobs.Job, task int, t wire.TaskReport) {
-	if !assignedHere(m, j, task, t) {
-		return
-	}
-	if j.Gang {
-		c.gangEnded(j, t)
-	}
-	if assignedHere(m, j, task, t) {
-		c.unassign(j, task)
-	}
-	c.log(slog.LevelDebug, "attempt ended", "task", t.Task, "machine", m.ID, "cause", t.Cause, "attempt", t.Attempt)
-	if t.Cause == wire.CauseError {
-		c.taskFailed(m, j)
-	}
-}
-
-// taskFailed judges who is to blame for a failed task: the machine, if tasks of
-// jobs that run elsewhere fail on it; the job, if it fails on several machines.
-func (c *Core) taskFailed(m *workers.Machine, j *jobs.Job) {
-	was := j.Faulty()
-	j.FailedOn[m.ID] = true
-	if j.Faulty() {
-		if !was {
-			// The machines were not to blame. Guards against two jobs with a mistake
-			// of which both had run on a machine: it was drained for them.
-			for _, other := range c.pool.Machines {
-				delete(other.Failures, j.ID)
-			}
-		}
-		// Tasks that were started together fail together: that is one try. Guards
-		// against a pause of a minute after the first, although the machines may
-		// have been at fault.
-		if c.now.Steady >= j.NotBefore {
-			j.Backoff = min(max(2*j.Backoff, limits.RetryBase), limits.RetryMost)
-			j.NotBefore = c.now.Steady + j.Backoff
-			c.log(slog.LevelInfo, "job fails everywhere", "job", j.ID, "machines", len(j.FailedOn), "retryIn", j.Backoff)
-		}
-		return
-	}
-	m.Failures[j.ID]++
-	strikes := 0
-	for _, n := range m.Failures {
-		strikes += n
-	}
-	if m.Draining || strikes < limits.StrikesOut || (len(m.Failures) == 1 && !j.Succeeded) {
-		return
-	}
-	m.Draining, m.Faulty = true, true
-	c.log(slog.LevelInfo, "machine fails its tasks", "machine", m.ID, "strikes", strikes)
-	// What failed there says nothing about the jobs. Guards against jobs that were
-	// taken for faulty because several machines were.
-	for _, other := range c.jobs.Open {
-		delete(other.FailedOn, m.ID)
-	}
-}
-
 // launchCommands turns the plans for a machine into commands.
 func (c *Core) launchCommands(m *workers.Machine, cmds []wire.Command) []wire.Command {
 	h := c.loads[m.ID]
