Logs: readings of the records, tasks that a renewal stops, since when a user may know

A line for each time all records were read, with the revision and the age of what is known by it; the machine and the first of the tasks that an answer stops; a cancellation of which users may have been told at any time says so in place of a number.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -82,6 +82,7 @@
 	// earliestCancelled is, by class, the cancelled job that users may have been told of first.
 	earliestCancelled map[string]*jobs.Job
 	nextKnowledgeLog  time.Duration
+	loggedReadings    int          // how many readings of the records were logged
 	links             *linkMonitor // nil: not switched on
 	toldCounts        map[string][2]int
 	// cancelNotices are cancellations of which the owners of classes were not told yet.
--- a/internal/controller/knowledge_log.go
+++ b/internal/controller/knowledge_log.go
@@ -35,9 +35,20 @@
 	return c.now.Steady - c.ownership.CancellationsKnownThrough()
 }
 
+// logReadings tells when all records were read, and up to when they are known by that.
+func (c *Core) logReadings() {
+	mirror := c.store.Mirror
+	if mirror.Readings == c.loggedReadings {
+		return
+	}
+	c.loggedReadings = mirror.Readings
+	c.log(slog.LevelInfo, "records read", "readings", mirror.Readings, "revision", mirror.Revision, "keys", mirror.Len(), "ageS", (c.now.Steady - mirror.KnownThrough).Seconds())
+}
+
 // logKnowledge tells on what this node acts and answers: who leads, under which terms this node
 // acts, and how old its picture of the state service is.
 func (c *Core) logKnowledge() {
+	c.logReadings()
 	if c.now.Steady < c.nextKnowledgeLog {
 		return
 	}
--- a/internal/controller/renewals.go
+++ b/internal/controller/renewals.go
@@ -52,7 +52,7 @@
 		c.out = append(c.out, Answer{Ref: x.Ref, Status: 503})
 		return
 	}
-	c.countRenewal(m, proved, verdict, len(question.Listed))
+	c.countRenewal(m, proved, verdict, question.Listed)
 	// Judged when it leaves: guards against a node that stands still in between.
 	c.out = append(c.out, Answer{Ref: x.Ref, Status: 200, Body: body, Until: verdict.Until})
 }
@@ -105,7 +105,7 @@
 }
 
 // countRenewal counts a renewal, and logs one that stops tasks or is limited in time.
-func (c *Core) countRenewal(m *workers.Machine, proved workers.Verdict, v authority.Verdict, stops int) {
+func (c *Core) countRenewal(m *workers.Machine, proved workers.Verdict, v authority.Verdict, stopped []authority.Attempt) {
 	switch proved {
 	case workers.Unproven:
 		c.renewals.Unproven++
@@ -114,14 +114,15 @@
 	default:
 		c.renewals.Current++
 	}
-	if stops > 0 {
+	if len(stopped) > 0 {
 		c.renewals.Stopping++
+		c.log(slog.LevelDebug, "tasks stopped", "machine", m.ID, "stops", len(stopped), "first", stopped[0].String())
 	}
 	if v.Reason == authority.InTime {
 		c.renewals.Bounded++
 	}
 	if v.Reason != authority.NothingCancelled {
-		c.log(slog.LevelDebug, "renewed", "machine", m.ID, "session", m.Session, "term", m.Term, "proved", proved.String(), "reason", string(v.Reason), "stops", stops)
+		c.log(slog.LevelDebug, "renewed", "machine", m.ID, "session", m.Session, "term", m.Term, "proved", proved.String(), "reason", string(v.Reason))
 	}
 }
 
--- a/internal/jobs/cancellations.go
+++ b/internal/jobs/cancellations.go
@@ -55,6 +55,14 @@
 // ToldLongAgo stands for a cancellation of which users may have been told at any time.
 const ToldLongAgo = time.Duration(math.MinInt64 / 4)
 
+// toldWithin tells for the log how long ago a user can have been told of a cancellation.
+func toldWithin(now, toldAfter time.Duration) string {
+	if toldAfter == ToldLongAgo {
+		return "any time"
+	}
+	return (now - toldAfter).String()
+}
+
 // NoteCancellationsKnown takes note up to when this node knows of all cancellations that users were
 // told. It has to be called before anything newer is taken in: what is learned from then on was
 // told later.
@@ -75,7 +83,7 @@
 		return false
 	}
 	j.Cancelled, j.ToldAfter = true, r.cancellationsKnown
-	r.log(slog.LevelInfo, "job cancelled", "job", id, "toldWithinS", (r.now - j.ToldAfter).Seconds())
+	r.log(slog.LevelInfo, "job cancelled", "job", id, "toldWithin", toldWithin(r.now, j.ToldAfter))
 	return true
 }
 
--- a/internal/statestore/mirror.go
+++ b/internal/statestore/mirror.go
@@ -33,6 +33,8 @@
 	keys     map[string]Entry
 	Revision uint64
 	Loaded   bool
+	// Readings counts how often all keys were read: at first, and again after a 410.
+	Readings int
 	// KnownThrough is the time, at which a request left, up to which every change is in the
 	// mirror.
 	KnownThrough    time.Duration
@@ -58,6 +60,9 @@
 	return e, ok
 }
 
+// Len is how many keys are mirrored.
+func (m *Mirror) Len() int { return len(m.keys) }
+
 // TakeChanges returns the changes since the last call.
 func (m *Mirror) TakeChanges() []Change {
 	c := m.changes
@@ -142,6 +147,7 @@
 	m.KnownThrough = max(m.KnownThrough, l.began)
 	m.loading = nil
 	m.Loaded = true
+	m.Readings++
 }
 
 func (m *Mirror) watchAnswered(r Reply) {
