--- a/internal/controller/mixed_versions_test.go
+++ b/internal/controller/mixed_versions_test.go
@@ -22,6 +22,10 @@
 // beforeLinks is the last version whose controllers know no view of links.
 const beforeLinks = "2c5eb7e"
 
+// beforeRenewalJudge is the last version that renews machines without stops of their cancelled
+// tasks.
+const beforeRenewalJudge = "16f6493"
+
 // productionVersion reads from the deploy file which commit runs in production.
 func productionVersion(t *testing.T, root string) string {
 	t.Helper()
@@ -142,6 +146,7 @@
 	}{
 		{"production", productionVersion(t, root), false, ""},
 		{"last landing", lastLanding, true, ""},
+		{"before renewals were judged", beforeRenewalJudge, true, ""},
 		{"the view of links switched on", beforeLinks, true, filepath.Join(root, "deploy", "reachability.json")},
 	} {
 		t.Run(version.name, func(t *testing.T) {
