--- a/internal/controller/renewals.go
+++ b/internal/controller/renewals.go
@@ -178,12 +178,14 @@
 	return starts
 }
 
-// noteEarliestCancelled finds, for each class, the cancelled job of which users may know for longest
-// among those that an earlier owner may have launched and that may not be over.
+// noteEarliestCancelled finds, for each class, the cancelled job of which users are known to know for
+// longest among those that an earlier owner may have launched and that may not be over. A job that
+// came cancelled with a reading of all records is left out: a process that has just begun would ask
+// all machines of a fleet, which slowed takeovers down more than the rare order is worth.
 func (c *Core) noteEarliestCancelled() {
 	clear(c.earliestCancelled)
 	for _, j := range c.jobs.Open {
-		if !j.Cancelled || !j.Launched() {
+		if !j.Cancelled || !j.Launched() || j.ToldAfter == jobs.ToldLongAgo {
 			continue
 		}
 		for _, class := range j.Types {
