Renewals: machines are not asked before they are renewed; the hole is listed

Cause: asking a machine directly before its first report to a new owner was answered cost more than it guards. Orders that don't get through, or come when processors are short, left machines without a renewal.

Change: the question goes, and its tests with it.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -79,12 +79,10 @@
 	storeReplies       replyTimes
 	judge              authority.Judge
 	renewals           renewalCounts
-	// earliestCancelled is, by class, the cancelled job that users may have been told of first.
-	earliestCancelled map[string]*jobs.Job
-	nextKnowledgeLog  time.Duration
-	loggedReadings    int          // how many readings of the records were logged
-	links             *linkMonitor // nil: not switched on
-	toldCounts        map[string][2]int
+	nextKnowledgeLog   time.Duration
+	loggedReadings     int          // how many readings of the records were logged
+	links              *linkMonitor // nil: not switched on
+	toldCounts         map[string][2]int
 	// cancelNotices are cancellations of which the owners of classes were not told yet.
 	cancelNotices map[string]map[string]bool
 	nextNotice    time.Duration
@@ -105,28 +103,27 @@
 // NewCore makes the state machine. random names this life of the process.
 func NewCore(set *config.Settings, ops *config.Operator, now Now, random uint64) *Core {
 	c := &Core{
-		settings:          set,
-		operator:          ops,
-		now:               now,
-		teams:             map[string]*config.Team{},
-		active:            map[string]uint64{},
-		reported:          map[attempt]bool{},
-		reportedAttempts:  map[uint64]bool{},
-		directCalls:       map[uint64]*directCall{},
-		preemptions:       map[string]*preemption{},
-		loads:             map[string]*machineLoad{},
-		booked:            map[string]map[string]usage{},
-		machineRecords:    map[string]machineRecord{},
-		foreignArrivals:   map[string]time.Duration{},
-		toldCounts:        map[string][2]int{},
-		cancelNotices:     map[string]map[string]bool{},
-		reserved:          map[string]bool{},
-		keepIdle:          map[string]bool{},
-		typesSaved:        map[string]bool{},
-		recordRequested:   map[string]bool{},
-		resolving:         map[string]bool{},
-		judge:             authority.Rules{},
-		earliestCancelled: map[string]*jobs.Job{},
+		settings:         set,
+		operator:         ops,
+		now:              now,
+		teams:            map[string]*config.Team{},
+		active:           map[string]uint64{},
+		reported:         map[attempt]bool{},
+		reportedAttempts: map[uint64]bool{},
+		directCalls:      map[uint64]*directCall{},
+		preemptions:      map[string]*preemption{},
+		loads:            map[string]*machineLoad{},
+		booked:           map[string]map[string]usage{},
+		machineRecords:   map[string]machineRecord{},
+		foreignArrivals:  map[string]time.Duration{},
+		toldCounts:       map[string][2]int{},
+		cancelNotices:    map[string]map[string]bool{},
+		reserved:         map[string]bool{},
+		keepIdle:         map[string]bool{},
+		typesSaved:       map[string]bool{},
+		recordRequested:  map[string]bool{},
+		resolving:        map[string]bool{},
+		judge:            authority.Rules{},
 	}
 	for i := range set.Cluster.Teams {
 		c.teams[set.Cluster.Teams[i].Name] = &set.Cluster.Teams[i]
--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -38,7 +38,6 @@
 	tasks    []taskRef
 	attempts []uint64 // their attempts
 	probe    bool     // without commands: what does the machine run?
-	held     *Checkin // a report whose answer waits for what the machine runs
 }
 
 // sendDirectLaunches tells machines at once what was planned for them. Unlike an answer
@@ -94,12 +93,10 @@
 		m.DirectInFlight = false
 	}
 	switch {
+	case m == nil:
 	case o.probe:
-		proved := m != nil && c.probeReplied(m, o, x)
-		if o.held != nil {
-			c.answerHeld(*o.held, m, proved)
-		}
-	case m != nil:
+		c.probeReplied(m, o, x)
+	default:
 		c.launchesReplied(m, o, x)
 	}
 }
@@ -176,31 +173,28 @@
 
 // sendUntracked sends a machine commands that need no account of their own, or none: stops may
 // be carried out late, and again. The answer tells what it runs.
-func (c *Core) sendUntracked(m *workers.Machine, session uint64, cmds []wire.Command) *directCall {
+func (c *Core) sendUntracked(m *workers.Machine, session uint64, cmds []wire.Command) {
 	term := c.active[m.Class]
 	m.DirectInFlight = true
 	c.probesInFlight++
 	c.lastDirectCall++
-	call := &directCall{machine: m.ID, session: session, term: term, probe: true}
-	c.directCalls[c.lastDirectCall] = call
+	c.directCalls[c.lastDirectCall] = &directCall{machine: m.ID, session: session, term: term, probe: true}
 	c.out = append(c.out, DirectCall{ID: c.lastDirectCall, Address: m.Address, Body: wire.Orders{Token: term, Session: session, Commands: cmds}, Until: c.ownership.ActUntil()})
-	return call
 }
 
-// probeReplied takes in what a machine answered that was asked what it runs. It tells whether that
-// is the truth about the machine.
-func (c *Core) probeReplied(m *workers.Machine, o *directCall, x DirectReply) (proved bool) {
+// probeReplied takes in what a machine answered that was asked what it runs.
+func (c *Core) probeReplied(m *workers.Machine, o *directCall, x DirectReply) {
 	if c.active[m.Class] != o.term {
-		return false
+		return
 	}
 	r := &wire.Report{}
 	if (x.Status != 200 && x.Status != 409) || wire.Decode(x.Body, r) != nil || r.Machine != m.ID {
 		m.ProbeFailed = true
-		return false
+		return
 	}
 	resolved, found := m.Resolved(), m.Term == o.term
 	if !c.pool.ReceiveProbe(c.now.Steady, m, r, o.term, o.session) {
-		return false
+		return
 	}
 	// Guards against machines that a new owner returned as never come up, with their
 	// tasks, although they had answered it.
@@ -212,7 +206,6 @@
 	c.dirty = true
 	c.jobsChanged = c.jobsChanged || !resolved
 	c.reconcile(m, nil, true)
-	return true
 }
 
 // repeatLaunches lists the launches whose order was never answered and which no report
--- a/internal/controller/owned_classes.go
+++ b/internal/controller/owned_classes.go
@@ -121,7 +121,6 @@
 		return
 	}
 	c.jobsChanged = false
-	c.noteEarliestCancelled()
 	unresolved := map[string]bool{}
 	for id, m := range c.pool.Machines {
 		if c.machineRecords[id].Up && !m.Resolved() {
--- a/internal/controller/renewals.go
+++ b/internal/controller/renewals.go
@@ -6,7 +6,6 @@
 
 	"umberpaddle/internal/authority"
 	"umberpaddle/internal/jobs"
-	"umberpaddle/internal/limits"
 	"umberpaddle/internal/wire"
 	"umberpaddle/internal/workers"
 )
@@ -20,7 +19,6 @@
 	Bounded   int // of these, limited in time by an order that may start a cancelled task
 	Stopping  int // of these, with stops of cancelled tasks
 	Withheld  int // not given, since an order may start a cancelled task too late
-	Proving   int // put off until the machine, asked directly, has told what it runs
 	// Violations counts answers that would have left a cancelled task running: each is a fault of
 	// this program.
 	Violations int
@@ -33,9 +31,7 @@
 	question := c.renewalOf(m, x.Report, proved)
 	verdict := c.judge.JudgeRenewal(question)
 	if !verdict.Renew {
-		if proved != workers.Unproven || !c.proveFirst(x, m, verdict) {
-			c.withhold(x, m, verdict)
-		}
+		c.withhold(x, m, verdict)
 		return
 	}
 	body := wire.ReportReply{Token: m.Term, Commands: verdict.Stops}
@@ -64,35 +60,6 @@
 	c.out = append(c.out, Answer{Ref: x.Ref, Status: 503})
 }
 
-// proveFirst asks a machine that has not seen our token directly what it runs, and lets the answer
-// to its report wait for that. With the question the machine sees our token: no order of an earlier
-// owner can start anything any more, and its list is all there is. It tells whether it could ask.
-// Guards against an earlier owner's order that starts a cancelled task between a report and the
-// answer that renews the machine.
-func (c *Core) proveFirst(x Checkin, m *workers.Machine, v authority.Verdict) bool {
-	if m.DirectInFlight || m.Address == "" || c.probesInFlight >= limits.ProbesInFlight {
-		return false
-	}
-	c.renewals.Proving++
-	c.log(slog.LevelDebug, "machine asked before it is renewed", "machine", m.ID, "session", m.Session, "term", m.Term, "attempt", v.Cause.String())
-	stops := v.Stops
-	if stops == nil {
-		stops = []wire.Command{}
-	}
-	c.sendUntracked(m, m.Session, stops).held = &x
-	return true
-}
-
-// answerHeld answers a report whose machine was asked what it runs; proved tells whether it said so.
-func (c *Core) answerHeld(x Checkin, m *workers.Machine, proved bool) {
-	if !proved || !c.ownership.MayAnswer() {
-		c.out = append(c.out, Answer{Ref: x.Ref, Status: 503})
-		return
-	}
-	// What it said is newer than its report.
-	c.renew(x, m, workers.Overtaken)
-}
-
 // currentCommands lists what a machine whose list is the truth is told.
 func (c *Core) currentCommands(m *workers.Machine) []wire.Command {
 	commands := c.reconcile(m, nil, false)
@@ -137,7 +104,7 @@
 		ActUntil:     c.ownership.ActUntil(),
 		MaxStaleness: c.ownership.MaxStaleness,
 		Listed:       c.listedToEnd(list),
-		MayStart:     c.possibleStarts(m, list, proved),
+		MayStart:     c.possibleStarts(m, list),
 	}
 }
 
@@ -157,14 +124,10 @@
 }
 
 // possibleStarts lists the attempts of cancelled jobs that a machine does not list and that an
-// order, under way or never answered, may still start, also one of an earlier owner if the machine
-// has not seen our token. Whatever the machine lists, an order starts
+// order of ours, under way or never answered, may still start. Whatever the machine lists, an order starts
 // no more: a worker ignores the launch of an attempt that it has, and an ended attempt is not
 // cleared while an order for it is unanswered.
-func (c *Core) possibleStarts(m *workers.Machine, list []wire.TaskReport, proved workers.Verdict) (starts []authority.PossibleStart) {
-	if j := c.earliestCancelled[m.Class]; proved == workers.Unproven && j != nil {
-		starts = append(starts, authority.PossibleStart{Attempt: authority.Attempt{Task: j.ID}, ToldAfter: j.ToldAfter})
-	}
+func (c *Core) possibleStarts(m *workers.Machine, list []wire.TaskReport) (starts []authority.PossibleStart) {
 	for n, order := range m.Orders {
 		if !order.MayStartTasks() || lists(list, order.Task, n) {
 			continue
@@ -178,24 +141,6 @@
 	return starts
 }
 
-// noteEarliestCancelled finds, for each class, the cancelled job of which users are known to know for
-// longest among those that an earlier owner may have launched and that may not be over. A job that
-// came cancelled with a reading of all records is left out: a process that has just begun would ask
-// all machines of a fleet, which slowed takeovers down more than the rare order is worth.
-func (c *Core) noteEarliestCancelled() {
-	clear(c.earliestCancelled)
-	for _, j := range c.jobs.Open {
-		if !j.Cancelled || !j.Launched() || j.ToldAfter == jobs.ToldLongAgo {
-			continue
-		}
-		for _, class := range j.Types {
-			if first := c.earliestCancelled[class]; first == nil || j.ToldAfter < first.ToldAfter {
-				c.earliestCancelled[class] = j
-			}
-		}
-	}
-}
-
 // lists tells whether a machine's list shows an attempt, in any state.
 func lists(list []wire.TaskReport, task string, number uint64) bool {
 	for _, t := range list {
