--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -328,32 +328,32 @@
 		}
 		return call
 	}
-	t.Run("known here", func(t *testing.T) {
-		c := testCore(t)
-		c.store.Mirror.Loaded = true
-		c.jobs.Open["job-000001"] = &jobs.Job{Job: &wire.Job{ID: "job-000001", Tasks: 1}}
-		call := submit(t, c, 1)
-		out := c.Step(Now{Steady: 2 * time.Second}, StoreReply{ID: call.ID, Status: 200, Body: pack(wire.TxnReply{Revision: 9})})
-		if a := answerOf(t, out); a.Status != 200 {
-			t.Errorf("known: %d", a.Status)
-		}
-	})
-	t.Run("known to the state service", func(t *testing.T) {
-		c := testCore(t)
-		c.store.Mirror.Loaded = true
-		call := submit(t, c, 1)
-		out := c.Step(Now{Steady: 2 * time.Second}, StoreReply{ID: call.ID, Status: 409, Body: pack(wire.TxnReply{Revision: 9, Failed: []string{statestore.Root + "o/job-000001"}})})
-		if a := answerOf(t, out); a.Status != 200 {
-			t.Errorf("accepted before: %d", a.Status)
-		}
-	})
-	t.Run("known to nobody", func(t *testing.T) {
-		c := testCore(t)
-		c.store.Mirror.Loaded = true
-		call := submit(t, c, 1)
-		out := c.Step(Now{Steady: 2 * time.Second}, StoreReply{ID: call.ID, Status: 200, Body: pack(wire.TxnReply{Revision: 9})})
-		if a := answerOf(t, out); a.Status != 400 {
-			t.Errorf("unknown: %d", a.Status)
-		}
-	})
+	for _, x := range []struct {
+		name   string
+		here   bool   // this node knows the job
+		status int    // of the state service's reply
+		failed string // the key that it finds
+		want   int
+	}{
+		{"known here", true, 200, "", 200},
+		{"known to the state service", false, 409, statestore.Root + "o/job-000001", 200},
+		{"known to nobody", false, 200, "", 400},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := testCore(t)
+			c.store.Mirror.Loaded = true
+			if x.here {
+				c.jobs.Open["job-000001"] = &jobs.Job{Job: &wire.Job{ID: "job-000001", Tasks: 1}}
+			}
+			reply := wire.TxnReply{Revision: 9}
+			if x.failed != "" {
+				reply.Failed = []string{x.failed}
+			}
+			call := submit(t, c, 1)
+			out := c.Step(Now{Steady: 2 * time.Second}, StoreReply{ID: call.ID, Status: x.status, Body: pack(reply)})
+			if a := answerOf(t, out); a.Status != x.want {
+				t.Errorf("%d, want %d", a.Status, x.want)
+			}
+		})
+	}
 }
