--- a/internal/controller/mixed_versions_test.go
+++ b/internal/controller/mixed_versions_test.go
@@ -81,7 +81,7 @@
 // life for it, and tested nothing.
 func (p *controllerProcess) leadsAndOwns(w *simulation) bool {
 	self, version := readProcessKey(w, "u/n/"+p.label)
-	owner, _ := readProcessKey(w, "u/own/small")
+	owner, _ := readProcessKey(w, ownerKey)
 	leader, _ := readProcessKey(w, "u/leader")
 	return version > p.since && owner == self && leader == self
 }
--- a/internal/controller/process_soak_test.go
+++ b/internal/controller/process_soak_test.go
@@ -312,18 +312,10 @@
 
 // killOwner ends the present owner, so that leaders follow each other.
 func (f *processFaults) killOwner() {
-	var holder struct {
-		Node string `msgpack:"n"`
-	}
-	f.c.world.do(func() {
-		if k := f.c.world.w.store.keys[ownerKey]; k != nil {
-			if err := wire.Decode(k.value, &holder); err != nil {
-				f.c.world.w.reportBroken("owner", "%v", err)
-			}
-		}
-	})
+	var owner processKey
+	f.c.world.do(func() { owner, _ = readProcessKey(f.c.world.w, ownerKey) })
 	for _, p := range f.c.processes {
-		if p.label == holder.Node {
+		if p.label == owner.Node {
 			f.killFor(p, time.Second)
 		}
 	}
