Renewals: a worker that may get an earlier owner's order is fenced before it is renewed

Symptom: a task of a job whose user was told of the cancellation was on its machine for longer than cancel_s (TestHeldOrderStartsNoCancelledTask, and on one core TestEarlierOwnersOrdersCannotStartCancelledTasks).

Cause: until a worker has seen a new owner's fencing token, an order of the owner before may be carried out. One that started a cancelled task between the worker's report and the answer to it came under a renewal that knew nothing of it.

Change: a worker is suspect only if a job with a launch record was cancelled by a change later than the token that the worker names, may run on its type, zone and kind, and the machine is recorded. All else is proved: an owner orders directly only on machines that have shown it its own term, and knows of what was cancelled before its term (now also after records were read anew in pages). Within the time since the earliest telling a suspect is renewed as before. After that the answer waits for an order without commands, which shows the worker the new token: its answer lists what runs, and the report is then answered with that. Without its answer the report gets 503. Counters tell how often.

--- a/internal/authority/renewal.go
+++ b/internal/authority/renewal.go
@@ -5,7 +5,8 @@
 // the worker's lease anew, and all tasks on the machine may run until that lease ends, also when
 // the machine hangs or hears nothing more. So an answer must stop every cancelled task that the
 // machine lists, and where an order may still start a cancelled task, no answer may leave so late
-// that the lease ends after the time that a cancellation has.
+// that the lease ends after the time that a cancellation has. Orders of earlier owners can be made
+// harmless: a worker that has seen the fencing token of this owner refuses them.
 package authority
 
 import (
@@ -32,6 +33,14 @@
 	ToldAfter time.Duration
 }
 
+// EarlierOrder is an order of an earlier owner that a worker, which has not seen this owner's fencing
+// token, may still carry out: it starts a task of a cancelled job.
+type EarlierOrder struct {
+	Job string
+	// ToldAfter is the earliest time at which a user can have been told of the cancellation.
+	ToldAfter time.Duration
+}
+
 // Renewal is what a controller knows when it is to answer a report with 200.
 type Renewal struct {
 	Now time.Duration
@@ -45,6 +54,8 @@
 	Listed []Attempt
 	// MayStart are the attempts that may yet come onto the machine although they must not run.
 	MayStart []PossibleStart
+	// EarlierOrders are those that may be outstanding as long as the worker is not fenced.
+	EarlierOrders []EarlierOrder
 }
 
 // Reason tells why a renewal is allowed or withheld.
@@ -56,12 +67,15 @@
 	AllStopped       Reason = "cancelled tasks are stopped"
 	InTime           Reason = "an order may start a cancelled task, and the lease ends in time"
 	TooLate          Reason = "an order may start a cancelled task, and the lease would end too late"
+	NotFenced        Reason = "an earlier owner's order may start a cancelled task, and the lease would end too late"
 	NoLongerOwner    Reason = "the right to answer workers is over"
 )
 
 // Verdict is the decision about a renewal.
 type Verdict struct {
-	Renew  bool
+	Renew bool
+	// Fence: the renewal is allowed once the worker has seen this owner's fencing token.
+	Fence  bool
 	Reason Reason
 	// Until is the time after which the answer must not leave.
 	Until time.Duration
@@ -69,6 +83,8 @@
 	Stops []wire.Command
 	// Cause is the attempt for which the renewal is withheld, or bounded.
 	Cause Attempt
+	// CauseJob is the job of an earlier owner's order for which it is, if Cause is empty.
+	CauseJob string
 }
 
 // Judge decides about renewals, and checks what was made of its decisions.
@@ -95,9 +111,17 @@
 			v.Reason, v.Until, v.Cause = InTime, until, p.Attempt
 		}
 	}
+	own := v.Until
+	for _, o := range r.EarlierOrders {
+		if until := o.ToldAfter + r.MaxStaleness; until < v.Until {
+			v.Reason, v.Until, v.Cause, v.CauseJob = InTime, until, Attempt{}, o.Job
+		}
+	}
 	switch {
 	case r.Now < v.Until:
-	case v.Reason == InTime:
+	case r.Now < own:
+		v.Renew, v.Fence, v.Reason = false, true, NotFenced
+	case r.Now < r.ActUntil:
 		v.Renew, v.Reason = false, TooLate
 	default:
 		v.Renew, v.Reason = false, NoLongerOwner
@@ -110,8 +134,20 @@
 
 func (e *UnstoppedError) Error() string { return "not stopped: " + e.Attempt.String() }
 
-// CheckAnswer implements Judge: every attempt that must end is stopped, and none is launched.
+// NotFencedError tells that an answer would renew a machine on which an earlier owner's order may
+// start a task of a cancelled job that then runs for too long.
+type NotFencedError struct{ Job string }
+
+func (e *NotFencedError) Error() string { return "not fenced: an earlier order of " + e.Job }
+
+// CheckAnswer implements Judge: no earlier owner's order bounds the answer's time as of now, every
+// attempt that must end is stopped, and none is launched.
 func (Rules) CheckAnswer(r Renewal, commands []wire.Command) error {
+	for _, o := range r.EarlierOrders {
+		if r.Now >= o.ToldAfter+r.MaxStaleness {
+			return &NotFencedError{o.Job}
+		}
+	}
 	if len(r.Listed) == 0 {
 		return nil
 	}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -62,7 +62,8 @@
 	// directCalls are those under way; touched are machines with new plans.
 	directCalls     map[uint64]*directCall
 	lastDirectCall  uint64
-	probesInFlight  int // of orders, those without commands
+	probesInFlight  int // of orders, those that launch nothing
+	fencesInFlight  int // of these, those that only show a worker our token
 	plannedMachines []string
 	// The order of jobs, kept for a moment.
 	sorted            []*jobs.Job
@@ -79,10 +80,14 @@
 	storeReplies       replyTimes
 	judge              authority.Judge
 	renewals           renewalCounts
-	nextKnowledgeLog   time.Duration
-	loggedReadings     int          // how many readings of the records were logged
-	links              *linkMonitor // nil: not switched on
-	toldCounts         map[string][2]int
+	// heldReports are those whose answer waits until the machine has seen our token, by machine;
+	// fenceQueue are machines that are to be sent an order for it.
+	heldReports      map[string]*heldReport
+	fenceQueue       []string
+	nextKnowledgeLog time.Duration
+	loggedReadings   int          // how many readings of the records were logged
+	links            *linkMonitor // nil: not switched on
+	toldCounts       map[string][2]int
 	// cancelNotices are cancellations of which the owners of classes were not told yet.
 	cancelNotices map[string]map[string]bool
 	nextNotice    time.Duration
@@ -125,6 +130,7 @@
 		typesSaved:       map[string]bool{},
 		recordRequested:  map[string]bool{},
 		resolving:        map[string]bool{},
+		heldReports:      map[string]*heldReport{},
 		judge:            authority.Rules{},
 	}
 	for i := range set.Cluster.Teams {
@@ -250,6 +256,7 @@
 		c.handedOverAt = t
 	}
 	c.followClaims()
+	c.expireHeldReports()
 	c.manageMachines()
 	c.updateActiveJobs()
 	c.updateGangs()
--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -38,7 +38,8 @@
 	term     uint64
 	tasks    []taskRef
 	attempts []uint64 // their attempts
-	probe    bool     // without commands: what does the machine run?
+	probe    bool     // launches nothing: what does the machine run?
+	fence    bool     // a probe that is sent so that the machine sees our token
 }
 
 // sendDirectLaunches tells machines at once what was planned for them, so many at a time as
@@ -106,6 +107,9 @@
 	if call.probe {
 		c.probesInFlight--
 	}
+	if call.fence {
+		c.fencesInFlight--
+	}
 	m := c.pool.Machines[call.machine]
 	if m != nil {
 		m.DirectInFlight = false
@@ -117,6 +121,8 @@
 	default:
 		c.launchesReplied(m, call, x)
 	}
+	c.releaseHeldReport(call)
+	c.sendFences()
 	// What was planned while the order was under way goes at once, but only to a worker that answers:
 	// guards against calls without a pause to one that refuses connections.
 	if load := c.loads[call.machine]; x.Status == 200 && load != nil && load.planned > 0 {
@@ -186,7 +192,7 @@
 		return
 	}
 	for _, m := range c.pool.Sorted() {
-		if c.probesInFlight >= limits.ProbesInFlight {
+		if c.probesInFlight-c.fencesInFlight >= limits.ProbesInFlight {
 			return
 		}
 		if m.DirectInFlight || m.Deleting || m.Lost || m.Address == "" || t < m.NextProbe || t-m.LastReport <= c.pool.Report*5/4+limits.ProbeAfter {
@@ -199,13 +205,15 @@
 
 // sendUntracked sends a machine commands that need no account of their own, or none: stops may
 // be carried out late, and again. The answer tells what it runs.
-func (c *Core) sendUntracked(m *workers.Machine, session uint64, cmds []wire.Command) {
+func (c *Core) sendUntracked(m *workers.Machine, session uint64, cmds []wire.Command) *directCall {
 	term := c.active[m.Class]
 	m.DirectInFlight = true
 	c.probesInFlight++
 	c.lastDirectCall++
-	c.directCalls[c.lastDirectCall] = &directCall{machine: m.ID, session: session, term: term, probe: true}
+	call := &directCall{machine: m.ID, session: session, term: term, probe: true}
+	c.directCalls[c.lastDirectCall] = call
 	c.out = append(c.out, DirectCall{ID: c.lastDirectCall, Address: m.Address, Body: wire.Orders{Token: term, Session: session, Commands: cmds}, Until: c.ownership.ActUntil()})
+	return call
 }
 
 // probeReplied takes in what a machine answered that was asked what it runs.
--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -206,7 +206,7 @@
 		byMachine[p.Machine] = append(byMachine[p.Machine], wire.Command{Verb: wire.VerbStop, Task: jobs.TaskID(j.ID, task), Attempt: p.Attempt, GraceS: leeway})
 	}
 	for _, id := range order {
-		if m := c.pool.Machines[id]; m != nil && m.Adopted && !m.DirectInFlight && !m.Lost && !m.Deleting && m.Address != "" && c.probesInFlight < limits.ProbesInFlight {
+		if m := c.pool.Machines[id]; m != nil && m.Adopted && !m.DirectInFlight && !m.Lost && !m.Deleting && m.Address != "" && c.probesInFlight-c.fencesInFlight < limits.ProbesInFlight {
 			c.sendUntracked(m, m.Session, byMachine[id])
 		}
 	}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -28,7 +28,10 @@
 		if !m.Lost && c.pool.Expired(m, t) {
 			m.Lost = true
 			m.Adopted = false
-			c.log(slog.LevelInfo, "machine's lease is over", "machine", m.ID, "tasks", c.tasksOn(m.ID))
+			if m.NotFenced {
+				c.renewals.FenceLeases++
+			}
+			c.log(slog.LevelInfo, "machine's lease is over", "machine", m.ID, "tasks", c.tasksOn(m.ID), "notFenced", m.NotFenced)
 			c.clearMachine(m.ID)
 		}
 		if c.ownership.MayLaunch() && !m.Deleting {
--- a/internal/controller/renewals.go
+++ b/internal/controller/renewals.go
@@ -19,6 +19,11 @@
 	Bounded   int // of these, limited in time by an order that may start a cancelled task
 	Stopping  int // of these, with stops of cancelled tasks
 	Withheld  int // not given, since an order may start a cancelled task too late
+	// Reports whose answer waited until the machine had seen our token, since an earlier owner's
+	// order may start a cancelled task: Fenced of them were answered with 200 after that. The others
+	// were refused: the order for it was lost (FenceLost), or had no answer in time (FenceLate).
+	// FenceLeases counts machines whose lease ended after such a refusal.
+	FenceHeld, Fenced, FenceLost, FenceLate, FenceLeases int
 	// Violations counts answers that would have left a cancelled task running: each is a fault of
 	// this program.
 	Violations int
@@ -30,10 +35,15 @@
 func (c *Core) renew(x Checkin, m *workers.Machine, proved workers.Verdict) {
 	question := c.renewalOf(m, x.Report, proved)
 	verdict := c.judge.JudgeRenewal(question)
-	if !verdict.Renew {
+	switch {
+	case verdict.Fence:
+		c.fenceFirst(x, m, verdict)
+		return
+	case !verdict.Renew:
 		c.withhold(x, m, verdict)
 		return
 	}
+	m.NotFenced = false
 	body := wire.ReportReply{Token: m.Term, Commands: verdict.Stops}
 	if proved == workers.Current {
 		c.dirty = true
@@ -56,7 +66,7 @@
 // withhold refuses to renew a machine: it keeps its tasks for what is left of its lease.
 func (c *Core) withhold(x Checkin, m *workers.Machine, v authority.Verdict) {
 	c.renewals.Withheld++
-	c.log(slog.LevelInfo, "renewal withheld", "machine", m.ID, "session", m.Session, "term", m.Term, "reason", string(v.Reason), "attempt", v.Cause.String())
+	c.log(slog.LevelInfo, "renewal withheld", "machine", m.ID, "session", m.Session, "term", m.Term, "reason", string(v.Reason), "attempt", v.Cause.String(), "job", v.CauseJob)
 	c.refuseReport(x)
 }
 
@@ -99,13 +109,35 @@
 	if proved == workers.Overtaken {
 		list = m.Tasks // newer than the report
 	}
-	return authority.Renewal{
+	renewal := authority.Renewal{
 		Now:          c.now.Steady,
 		ActUntil:     c.ownership.ActUntil(),
 		MaxStaleness: c.ownership.MaxStaleness,
 		Listed:       c.listedToEnd(list),
 		MayStart:     c.possibleStarts(m, list),
 	}
+	if proved == workers.Unproven {
+		renewal.EarlierOrders = c.earlierOrders(m, r.Token)
+	}
+	return renewal
+}
+
+// earlierOrders lists the cancelled jobs of which an earlier owner may have sent a machine an order
+// that is still under way. The worker has seen token as the highest.
+//
+// An owner sends orders only to machines that have shown it its own term as their highest token, and
+// that are recorded. So what the worker may still carry out was ordered under the term that it names,
+// or a later one; and no owner launches what was cancelled before its term began.
+func (c *Core) earlierOrders(m *workers.Machine, token uint64) (orders []authority.EarlierOrder) {
+	if !c.machineRecords[m.ID].Up {
+		return nil
+	}
+	for _, j := range c.jobs.CancelledAfter(token) {
+		if j.TypeSet[m.Class] && (j.Zone == "" || j.Zone == m.Zone) && (j.Spot || !m.Spot) {
+			orders = append(orders, authority.EarlierOrder{Job: j.ID, ToldAfter: j.ToldAfter})
+		}
+	}
+	return orders
 }
 
 // listedToEnd picks from a machine's list the attempts that have not ended and must: of cancelled
--- a/internal/jobs/cancellations.go
+++ b/internal/jobs/cancellations.go
@@ -77,16 +77,36 @@
 	return r.finals[id].Status == wire.StatusDone || r.finalized[id] != nil
 }
 
+// setCancelled marks a job that is open as cancelled.
+func (r *Registry) setCancelled(j *Job, toldAfter time.Duration) {
+	j.Cancelled, j.ToldAfter = true, toldAfter
+	r.cancelled[j.ID] = j
+}
+
 func (r *Registry) markCancelled(id string) bool {
 	j := r.Open[id]
 	if j == nil || j.Cancelled {
 		return false
 	}
-	j.Cancelled, j.ToldAfter = true, r.cancellationsKnown
+	r.setCancelled(j, r.cancellationsKnown)
 	r.log(slog.LevelInfo, "job cancelled", "job", id, "toldWithin", toldWithin(r.now, j.ToldAfter))
 	return true
 }
 
+// CancelledAfter lists the cancelled jobs that some owner may have launched and that are cancelled
+// by a change after a revision, as far as this node knows. An owner whose term is a later revision
+// than the cancellation's never launched a task of the job: it knew.
+func (r *Registry) CancelledAfter(revision uint64) (list []*Job) {
+	for id, j := range r.cancelled {
+		// Until the mark is read, the cancellation passes for newer than everything.
+		mark, read := r.store.Mirror.Get(keyCancelled + id)
+		if j.Launched() && (!read || mark.Version > revision) {
+			list = append(list, j)
+		}
+	}
+	return list
+}
+
 // MergeCancellations takes in cancellations of which a peer knows that they are recorded. It tells
 // whether any of them is new to this node.
 func (r *Registry) MergeCancellations(now time.Duration, ids []string) (news bool) {
@@ -113,13 +133,11 @@
 // at which it was passed on as told no more, and for good if the job's record had not been read.
 func (r *Registry) Cancellations() []string {
 	var ids []string
-	for id, j := range r.Open {
-		if j.Cancelled {
-			ids = append(ids, id)
-		}
+	for id := range r.cancelled {
+		ids = append(ids, id)
 	}
 	for id, at := range r.confirmedCancels {
-		if j := r.Open[id]; j != nil && j.Cancelled {
+		if r.cancelled[id] != nil {
 			continue // listed above
 		}
 		if r.now-at > limits.CancelNoticeFor && r.recordRemoved(id, at) {
--- a/internal/jobs/final_states.go
+++ b/internal/jobs/final_states.go
@@ -101,6 +101,7 @@
 // awaitRemoval puts a job whose end is written aside until its record is removed.
 func (r *Registry) awaitRemoval(j *Job) {
 	delete(r.Open, j.ID)
+	delete(r.cancelled, j.ID)
 	delete(r.flushAt, j.ID)
 	r.finalized[j.ID] = j
 }
@@ -136,6 +137,7 @@
 		r.orphanRecords[id] = true
 	}
 	delete(r.Open, id)
+	delete(r.cancelled, id)
 	delete(r.flushAt, id)
 }
 
--- a/internal/jobs/registry.go
+++ b/internal/jobs/registry.go
@@ -41,6 +41,8 @@
 	now      time.Duration
 	unixTime float64 // time of day, for the log
 	Open     map[string]*Job
+	// cancelled are the jobs in Open that are cancelled.
+	cancelled map[string]*Job
 	// WithheldAnswers counts answers that were not given because they were older than their
 	// requests: each is a fault of this program.
 	WithheldAnswers int
@@ -80,7 +82,7 @@
 
 // New makes an empty registry.
 func New(store *statestore.Store, guard func(class string) wire.Guard, format func() int, log func(slog.Level, string, ...any)) *Registry {
-	r := &Registry{store: store, guard: guard, format: format, log: log, Open: map[string]*Job{}, finals: map[string]finalState{}, confirmedCancels: map[string]time.Duration{}, submissionsByID: map[string]*submission{},
+	r := &Registry{store: store, guard: guard, format: format, log: log, Open: map[string]*Job{}, cancelled: map[string]*Job{}, finals: map[string]finalState{}, confirmedCancels: map[string]time.Duration{}, submissionsByID: map[string]*submission{},
 		cancellationsKnown: ToldLongAgo, flushAt: map[string]time.Duration{}, orphanParts: map[string]bool{}, orphanRecords: map[string]bool{}, finalized: map[string]*Job{}}
 	r.doneSets = statestore.NewRecordTable(store, keyDoneSets, guard, r.applyDone)
 	return r
@@ -127,7 +129,7 @@
 	_, marked := r.store.Mirror.Get(keyCancelled + id)
 	if marked || r.finals[id].Status == wire.StatusCancelled {
 		// This node may have known for long.
-		j.Cancelled, j.ToldAfter = true, ToldLongAgo
+		r.setCancelled(j, ToldLongAgo)
 	}
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -345,6 +345,13 @@
 	OrderBuffer = 2 << 10
 	// DirectTimeout bounds one; a worker answers within milliseconds.
 	DirectTimeout = 2 * time.Second
+	// FencesInFlight bounds the orders without commands that only show workers a new owner's token,
+	// apart from other orders: a takeover may need hundreds within the workers' leases, and those to
+	// machines that don't answer must not hold up the others.
+	FencesInFlight = 96
+	// FenceWait is for how long the answer to a report waits for that: an order's answer comes
+	// within DirectTimeout, and a worker waits 4 s for the report's.
+	FenceWait = 2500 * time.Millisecond
 	// DirectSlack, added to a report interval, is from what silence on a machine is
 	// sent no orders: they would hang.
 	DirectSlack = 500 * time.Millisecond
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -327,6 +327,12 @@
 			handed = append(handed, class)
 			continue
 		}
+		// What a successor concludes from a term rests on this: an owner knows of all that was
+		// recorded before its term. Guards against a claim that is read, after a 410, in a later
+		// page than a cancellation that was written between the two.
+		if n.store.Mirror.Revision < r.version {
+			continue
+		}
 		// A peer that holds our promise, or may hold one of an earlier life
 		// of ours, can still be answering the workers.
 		if n.now < n.grantedUntil || !n.pastEarlierGrants(class) {
--- a/internal/workers/machine.go
+++ b/internal/workers/machine.go
@@ -43,6 +43,9 @@
 	ProbeFailed  bool
 	FoundByProbe bool // its present session was found by asking, and has sent no report
 
+	// NotFenced: its last report was refused, since it could not be shown our token.
+	NotFenced bool
+
 	reportSeq uint64 // of the last report; Seq may be that of an order's answer
 
 	Tasks  []wire.TaskReport // as last reported
