Tests: who waits for a fence, what a fence's answer does, a cold start that needs one everywhere

Cause: the mend of the renewals has guards that no test would miss yet.

Change: a table of suspects and of machines that are renewed at once; what becomes of a held report; a judge that forgets earlier owners' orders is caught; a claim is acted on once all that was recorded before it is known (fails without that guard); after a cold start with jobs just cancelled every machine waits for a fence.

--- a/internal/controller/earlier_orders_test.go
+++ b/internal/controller/earlier_orders_test.go
@@ -26,11 +26,16 @@
 	"flag"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"umberpaddle/internal/authority"
 	"umberpaddle/internal/fleet"
+	"umberpaddle/internal/jobs"
 	"umberpaddle/internal/limits"
+	"umberpaddle/internal/statestore"
+	"umberpaddle/internal/wire"
 )
 
 // Days on which an order is held up past a takeover; raise them to hunt.
@@ -165,3 +170,265 @@
 		})
 	}
 }
+
+// trustingJudge renews machines as if earlier owners had left no orders.
+type trustingJudge struct {
+	authority.Rules
+	unchecked bool // answers leave without a second look
+}
+
+func (j trustingJudge) JudgeRenewal(r authority.Renewal) authority.Verdict {
+	r.EarlierOrders = nil
+	return j.Rules.JudgeRenewal(r)
+}
+
+func (j trustingJudge) CheckAnswer(r authority.Renewal, commands []wire.Command) error {
+	if j.unchecked {
+		r.EarlierOrders = nil
+	}
+	return j.Rules.CheckAnswer(r, commands)
+}
+
+// TestForgottenEarlierOrdersAreCaught: with a judge that forgets earlier owners' orders the rule breaks
+// on some of the days; as long as each answer is looked at once more, that look finds it first.
+func TestForgottenEarlierOrdersAreCaught(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		judge  authority.Judge
+		breaks string
+	}{
+		{"unchecked", trustingJudge{unchecked: true}, "ran_cancelled"},
+		{"checked", trustingJudge{}, "renewal"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= guardOutSeeds; seed++ {
+				for _, b := range playHeldOrder(seed, func(c *Core) { c.judge = x.judge }, nil).broken {
+					if strings.HasPrefix(b, x.breaks) {
+						return
+					}
+				}
+			}
+			t.Errorf("no day broke %s", x.breaks)
+		})
+	}
+}
+
+// reportUnfenced steps the owner with a report whose worker has seen an earlier token, and returns all
+// that the owner does about it.
+func (o *ownerOfLongTasks) reportUnfenced(token uint64) []Output {
+	o.t.Helper()
+	m := o.machine
+	return o.step(Checkin{Ref: 1 << 40, Report: &wire.Report{Machine: m.ID, Address: m.Address, Type: m.Class, Zone: m.Zone, Spot: m.Spot,
+		Session: m.Session, Seq: m.Seq + 1, Token: token, Tasks: m.Tasks}})
+}
+
+// fenceOf finds the order without commands that was sent to the owner's machine.
+func (o *ownerOfLongTasks) fenceOf(out []Output) *DirectCall {
+	o.t.Helper()
+	for _, x := range out {
+		if call, ok := x.(DirectCall); ok && call.Address == o.machine.Address {
+			if call.Body.Token != o.machine.Term || call.Body.Session != o.machine.Session || len(call.Body.Commands) > 0 {
+				o.t.Errorf("not an order that only shows the token: %+v", call.Body)
+			}
+			return &call
+		}
+	}
+	return nil
+}
+
+// answersOf lists the answers to reports.
+func answersOf(out []Output) (list []Answer) {
+	for _, x := range out {
+		if a, ok := x.(Answer); ok {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// TestOnlySuspectsWaitForAFence: a machine whose report names an earlier token is renewed at once unless
+// an earlier owner may have ordered a task of a cancelled job there, of which its user was told too long ago.
+func TestOnlySuspectsWaitForAFence(t *testing.T) {
+	const cancelled = "job-000002"
+	mark := func(o *ownerOfLongTasks, revision uint64) {
+		o.core.store.Mirror.Put(statestore.Root+"c/"+cancelled, pack(true), revision)
+	}
+	for _, x := range []struct {
+		name    string
+		change  func(o *ownerOfLongTasks, j *jobs.Job)
+		suspect bool
+	}{
+		{"may run here", func(*ownerOfLongTasks, *jobs.Job) {}, true},
+		{"cancelled after the token", func(o *ownerOfLongTasks, _ *jobs.Job) { mark(o, o.machine.Term) }, true},
+		{"cancelled before the token", func(o *ownerOfLongTasks, _ *jobs.Job) { mark(o, o.machine.Term-1) }, false},
+		{"another type", func(_ *ownerOfLongTasks, j *jobs.Job) { j.TypeSet = map[string]bool{"large": true} }, false},
+		{"another zone", func(_ *ownerOfLongTasks, j *jobs.Job) { j.Zone = "elsewhere" }, false},
+		{"not on spot machines, which this is", func(o *ownerOfLongTasks, j *jobs.Job) { j.Spot, o.machine.Spot = false, true }, false},
+		{"the machine got no task before", func(o *ownerOfLongTasks, _ *jobs.Job) {
+			record := o.core.machineRecords[o.machine.ID]
+			record.Up = false
+			o.core.machineRecords[o.machine.ID] = record
+		}, false},
+		{"told a moment ago", func(o *ownerOfLongTasks, j *jobs.Job) { j.ToldAfter = o.now - time.Second }, false},
+		{"told too long ago, by a hair", func(o *ownerOfLongTasks, j *jobs.Job) { j.ToldAfter = o.now - o.core.ownership.MaxStaleness }, true},
+		{"told at an unknown time", func(_ *ownerOfLongTasks, j *jobs.Job) { j.ToldAfter = jobs.ToldLongAgo }, true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			o := newOwnerOfLongTasks(t)
+			o.cancelLongAgo()
+			x.change(o, o.core.jobs.Open[cancelled])
+			out := o.reportUnfenced(o.machine.Term - 1)
+			answers, fence := answersOf(out), o.fenceOf(out)
+			if x.suspect && (len(answers) > 0 || fence == nil) {
+				t.Errorf("answered with %+v, order %+v", answers, fence)
+			}
+			if !x.suspect && (len(answers) != 1 || answers[0].Status != 200 || fence != nil) {
+				t.Errorf("not renewed at once: %+v, order %+v", answers, fence)
+			}
+		})
+	}
+}
+
+// TestNeverLaunchedJobNeedsNoFence: a job without a record of a launch has never run.
+func TestNeverLaunchedJobNeedsNoFence(t *testing.T) {
+	o := newOwnerOfLongTasks(t)
+	o.order(true)
+	o.passWithNews(o.core.ownership.MaxStaleness+2*time.Second, "job-000002")
+	clear(o.machine.Orders)
+	o.machine.DirectInFlight = false
+	if a := answersOf(o.reportUnfenced(o.machine.Term - 1)); len(a) != 1 || a[0].Status != 200 {
+		t.Errorf("not renewed at once: %+v", a)
+	}
+}
+
+// TestFencedReportIsAnswered: once the worker has seen the token, the held report is answered, and what an
+// earlier order has started is stopped. Without that it gets 503, within the time that a worker waits.
+func TestFencedReportIsAnswered(t *testing.T) {
+	held := func(t *testing.T) (*ownerOfLongTasks, *DirectCall) {
+		o := newOwnerOfLongTasks(t)
+		o.cancelLongAgo()
+		fence := o.fenceOf(o.reportUnfenced(o.machine.Term - 1))
+		if fence == nil {
+			t.Fatal("no order that shows the token")
+		}
+		o.now += 50 * time.Millisecond
+		return o, fence
+	}
+	listOf := func(o *ownerOfLongTasks, session uint64) []byte {
+		m := o.machine
+		started := wire.TaskReport{Task: "job-000002/0", Attempt: 77, State: wire.TaskRunning}
+		return pack(&wire.Report{Machine: m.ID, Address: m.Address, Type: m.Class, Zone: m.Zone, Spot: m.Spot,
+			Session: session, Seq: m.Seq + 2, Token: m.Term, Tasks: append(slices.Clone(m.Tasks), started)})
+	}
+	mustGet := func(t *testing.T, out []Output, status int) Answer {
+		t.Helper()
+		a := answersOf(out)
+		if len(a) != 1 || a[0].Status != status {
+			t.Fatalf("answers %+v, want %d", a, status)
+		}
+		return a[0]
+	}
+	t.Run("the worker answers", func(t *testing.T) {
+		o, fence := held(t)
+		a := mustGet(t, o.step(DirectReply{ID: fence.ID, Status: 200, Body: listOf(o, o.machine.Session)}), 200)
+		o.mustStop(a, []wire.TaskReport{{Task: "job-000002/0"}})
+		if !o.machine.Adopted {
+			t.Error("the machine's list does not count")
+		}
+	})
+	t.Run("the order is lost", func(t *testing.T) {
+		o, fence := held(t)
+		mustGet(t, o.step(DirectReply{ID: fence.ID}), 503)
+	})
+	t.Run("the worker's session is over", func(t *testing.T) {
+		o, fence := held(t)
+		mustGet(t, o.step(DirectReply{ID: fence.ID, Status: 409, Body: listOf(o, o.machine.Session+1)}), 503)
+	})
+	t.Run("no word of the order", func(t *testing.T) {
+		o, _ := held(t)
+		if a := answersOf(o.step(Tick{})); len(a) > 0 {
+			t.Fatalf("answered at once: %+v", a)
+		}
+		o.now += limits.FenceWait
+		mustGet(t, o.step(Tick{}), 503)
+		if limits.FenceWait+limits.TickInterval >= limits.EdgeTimeout {
+			t.Error("the edge gives up before the held report is answered")
+		}
+	})
+	t.Run("the worker reports again", func(t *testing.T) {
+		o, fence := held(t)
+		o.machine.Seq++
+		mustGet(t, o.reportUnfenced(o.machine.Term-1), 503) // to the report before, which is given up
+		a := mustGet(t, o.step(DirectReply{ID: fence.ID, Status: 200, Body: listOf(o, o.machine.Session)}), 200)
+		o.mustStop(a, []wire.TaskReport{{Task: "job-000002/0"}})
+	})
+	t.Run("another order is under way", func(t *testing.T) {
+		o := newOwnerOfLongTasks(t)
+		o.cancelLongAgo()
+		o.core.sendUntracked(o.machine, o.machine.Session, []wire.Command{})
+		question := o.fenceOf(o.core.flush())
+		if out := o.reportUnfenced(o.machine.Term - 1); o.fenceOf(out) != nil || len(answersOf(out)) > 0 {
+			t.Fatalf("not held for the order under way: %+v", out)
+		}
+		if fence := o.fenceOf(o.step(DirectReply{ID: question.ID})); fence == nil {
+			t.Error("no order that shows the token once the other was lost")
+		}
+	})
+	t.Run("the class is given up", func(t *testing.T) {
+		o, fence := held(t)
+		delete(o.core.active, o.machine.Class)
+		o.core.leaveClass(o.machine.Class)
+		mustGet(t, o.step(DirectReply{ID: fence.ID, Status: 200, Body: listOf(o, o.machine.Session)}), 503)
+	})
+}
+
+// coldStartWithCancelledJobs plays a day of a large fleet on which users cancel jobs, and all controllers
+// end a moment later: whoever is back first knows no time at which users were told, so that every machine
+// that ran tasks is a suspect. It tells how many workers' sessions have ended, with all that ran in them,
+// and what the owner counted.
+func coldStartWithCancelledJobs(machines int, judge authority.Judge) (w *simulation, sessionsEnded int, counts renewalCounts) {
+	w = newLargeWorld(3, machines, false, 1)
+	w.cached = true
+	w.sabotage = func(c *Core) { c.judge = judge }
+	for i := range machines / 20 {
+		w.schedule(w.between(8, 10), func() { w.user(fmt.Sprintf("job-%06d", i), spec("blue", 40, 4, 400), 400) })
+	}
+	w.run(25 * s)
+	w.stray = 0.05
+	w.callOff(w.nodes[0], w.longest(8))
+	w.run(w.now + 500*time.Millisecond)
+	for _, n := range w.nodes {
+		n.crash(w.between(0.1, 2))
+	}
+	w.run(w.now + 40*s) // longer than a lease
+	for _, m := range w.created {
+		if m.up && !m.gone {
+			sessionsEnded += int(m.session) - 1
+		}
+	}
+	if o := w.owner(); o != nil {
+		counts = o.core.renewals
+	}
+	return w, sessionsEnded, counts
+}
+
+// TestColdStartWithCancelledJobsLosesNoLease: the fences that a takeover of a large fleet needs cost no
+// worker its lease, also where every machine needs one at once.
+func TestColdStartWithCancelledJobsLosesNoLease(t *testing.T) {
+	for _, machines := range []int{804, 4002} {
+		t.Run(fmt.Sprint(machines), func(t *testing.T) {
+			t.Parallel()
+			w, ended, counts := coldStartWithCancelledJobs(machines, authority.Rules{})
+			w.mustKeepRules(t)
+			_, before, _ := coldStartWithCancelledJobs(machines, trustingJudge{unchecked: true})
+			t.Logf("sessions ended: %d, %d without fences; %+v", ended, before, counts)
+			if counts.FenceHeld < machines/4 {
+				t.Errorf("only %d reports waited for a fence: the day shows nothing", counts.FenceHeld)
+			}
+			if ended > before {
+				t.Errorf("%d sessions of workers ended, %d without fences", ended, before)
+			}
+		})
+	}
+}
--- a/internal/ownership/extension_test.go
+++ b/internal/ownership/extension_test.go
@@ -90,3 +90,22 @@
 		t.Error("a promise ends for the peer before it ends for the asker")
 	}
 }
+
+// TestClaimIsActedOnOnceAllBeforeItIsKnown: after a 410 the records are read in pages, and a claim of ours
+// may stand in a later page than a cancellation that was written between the two. Successors rest on
+// an owner knowing of all that was recorded before its term.
+func TestClaimIsActedOnOnceAllBeforeItIsKnown(t *testing.T) {
+	const term = 20
+	n := nodeAt(time.Minute)
+	n.lease, n.leaseEnd = 1, 2*time.Minute
+	n.mapping["small"] = record{holderRecord: holderRecord{Node: n.Name}, version: 10}
+	n.holders["small"] = record{holderRecord: n.ownRecord(), version: term}
+	n.lastOwners["small"] = n.Name
+	for _, revision := range []uint64{term - 5, term - 1, term} {
+		n.store.Mirror.Revision = revision
+		n.followClaims()
+		if held, want := n.claims["small"] != nil, revision >= term; held != want {
+			t.Errorf("records known up to %d: claim acted on %v", revision, held)
+		}
+	}
+}
