--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -206,12 +206,20 @@
 		byMachine[p.Machine] = append(byMachine[p.Machine], wire.Command{Verb: wire.VerbStop, Task: jobs.TaskID(j.ID, task), Attempt: p.Attempt, GraceS: leeway})
 	}
 	for _, id := range order {
-		if m := c.pool.Machines[id]; m != nil && m.Adopted && !m.DirectInFlight && !m.Lost && !m.Deleting && m.Address != "" && c.probesInFlight-c.fencesInFlight < limits.ProbesInFlight {
+		if m := c.pool.Machines[id]; m != nil && c.mayStopDirectly(m) {
 			c.sendUntracked(m, m.Session, byMachine[id])
 		}
 	}
 }
 
+// mayStopDirectly tells whether stops may be sent straight to a machine. Guards against orders under no
+// term when a class is given up, which takes its gangs' tasks away.
+func (c *Core) mayStopDirectly(m *workers.Machine) bool {
+	_, ours := c.active[m.Class]
+	reachable := m.Adopted && !m.Lost && !m.Deleting && m.Address != ""
+	return ours && reachable && !m.DirectInFlight && c.probesInFlight-c.fencesInFlight < limits.ProbesInFlight
+}
+
 // updateGangs adopts what earlier owners started, gives up what stops for too long, and
 // makes way for the next attempt of what is gone.
 func (c *Core) updateGangs() {
--- a/internal/controller/owned_classes.go
+++ b/internal/controller/owned_classes.go
@@ -56,8 +56,8 @@
 // followClaims starts and ends acting for classes.
 func (c *Core) followClaims() {
 	claims := c.ownership.Claims()
-	for class, term := range c.active {
-		if cl := claims[class]; cl == nil || cl.Term != term {
+	for _, class := range slices.Sorted(maps.Keys(c.active)) {
+		if cl := claims[class]; cl == nil || cl.Term != c.active[class] {
 			delete(c.active, class)
 			c.leaveClass(class)
 			c.machineTable.Forget(class)
@@ -89,10 +89,10 @@
 }
 
 func (c *Core) leaveClass(class string) {
-	for id, m := range c.pool.Machines {
+	for _, m := range c.pool.Sorted() {
 		if m.Class == class {
-			c.clearMachine(id)
-			c.pool.Drop(id)
+			c.clearMachine(m.ID)
+			c.pool.Drop(m.ID)
 		}
 	}
 	for id, r := range c.fleet.Rentals {
@@ -137,7 +137,7 @@
 			c.round = nil // what may run unseen has changed
 		}
 	}
-	for class := range c.resolving {
+	for _, class := range slices.Sorted(maps.Keys(c.resolving)) {
 		if !unresolved[class] {
 			delete(c.resolving, class)
 			c.log(slog.LevelInfo, "every machine of the class accounted for", "class", class, "term", c.active[class])
--- a/internal/controller/renewals.go
+++ b/internal/controller/renewals.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"umberpaddle/internal/authority"
@@ -160,7 +162,11 @@
 // no more: a worker ignores the launch of an attempt that it has, and an ended attempt is not
 // cleared while an order for it is unanswered.
 func (c *Core) possibleStarts(m *workers.Machine, list []wire.TaskReport) (starts []authority.PossibleStart) {
-	for n, order := range m.Orders {
+	if len(m.Orders) == 0 {
+		return nil
+	}
+	for _, n := range slices.Sorted(maps.Keys(m.Orders)) {
+		order := m.Orders[n]
 		if !order.MayStartTasks() || lists(list, order.Task, n) {
 			continue
 		}
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -59,6 +59,8 @@
 	// addressOf gives a new machine an address of its own, for direct orders over real sockets.
 	addressOf func(m *simMachine) string
 	sabotage  func(*Core) // breaks a core on purpose, to see the rules catch it
+	// observe, if set, sees what each step returned.
+	observe func(n *simNode, out []Output)
 }
 
 type simConfig struct {
@@ -432,6 +434,9 @@
 
 // send carries out what a step returned.
 func (n *simNode) send(out []Output) {
+	if n.w.observe != nil {
+		n.w.observe(n, out)
+	}
 	for _, o := range out {
 		switch x := o.(type) {
 		case Answer:
@@ -497,6 +502,9 @@
 // callWorker carries a direct command, which may come late, twice or never.
 func (n *simNode) callWorker(x DirectCall) {
 	w, body, step := n.w, pack(x.Body), n.later()
+	if x.Body.Token == 0 {
+		w.reportBroken("token", "%s orders %s under no term: %+v", n.label, x.Address, x.Body.Commands)
+	}
 	m := w.machines[x.Address]
 	if late := n.clock().Steady >= x.Until; late || m == nil || m.gone && w.chance(0.5) {
 		w.schedule(time.Millisecond, func() { step(DirectReply{ID: x.ID, Unsent: true}) })
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -218,6 +218,15 @@
 	f.logf(slog.LevelInfo, "machine returned", "machine", id, "why", why)
 }
 
+// deleteAll marks machines for deletion, in the order of their names: what is logged must not depend on
+// the order of a map.
+func (f *Manager) deleteAll(ids []string, why ReturnReason) {
+	sort.Strings(ids)
+	for _, id := range ids {
+		f.Delete(id, why)
+	}
+}
+
 func (f *Manager) deleteMarked() {
 	if !f.deletionsWait || !f.mayCall() {
 		return
@@ -384,6 +393,7 @@
 		}
 		r.Listed, r.SeenAt = m.Status, f.now
 	}
+	var unlisted []string
 	for _, r := range f.Rentals {
 		if _, ok := f.pages[r.ID]; ok {
 			continue
@@ -391,9 +401,10 @@
 		// Listed once and not any more: gone, as the cloud promises. New ones
 		// may be missing for twice the lag.
 		if r.SeenAt != 0 && f.listFrom-r.SeenAt > 2*f.listLag+limits.ListInterval || r.SeenAt == 0 && f.listFrom-r.Since > 3*f.listLag+limits.ListInterval && !r.Up {
-			f.Delete(r.ID, ReturnUnlisted)
+			unlisted = append(unlisted, r.ID)
 		}
 	}
+	f.deleteAll(unlisted, ReturnUnlisted)
 	f.pages = nil
 }
 
@@ -401,12 +412,13 @@
 // reach this node, and from is since when they do.
 func (f *Manager) RemoveDeadRentals(hearing bool, from time.Duration) {
 	f.updateRisk()
+	var failed, neverUp []string
 	for _, r := range f.Rentals {
 		if r.Deleted {
 			continue
 		}
 		if r.Listed == wire.MachineFailed {
-			f.Delete(r.ID, ReturnFailed)
+			failed = append(failed, r.ID)
 			continue
 		}
 		t := f.Types[r.Kind.Class]
@@ -426,9 +438,11 @@
 		// Known guards against a takeover that returns running machines
 		// only because they have not reported to the new owner yet.
 		if f.now-r.Since > boot+limits.BootSlack && f.now-known > f.ReportWithin {
-			f.Delete(r.ID, ReturnNeverUp)
+			neverUp = append(neverUp, r.ID)
 		}
 	}
+	f.deleteAll(failed, ReturnFailed)
+	f.deleteAll(neverUp, ReturnNeverUp)
 }
 
 // Booting counts the machines of a kind that are still to come up. Those that have
--- a/internal/jobs/cancellations.go
+++ b/internal/jobs/cancellations.go
@@ -3,7 +3,9 @@
 import (
 	"log/slog"
 	"math"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"umberpaddle/internal/limits"
@@ -104,6 +106,7 @@
 			list = append(list, j)
 		}
 	}
+	slices.SortFunc(list, func(a, b *Job) int { return strings.Compare(a.ID, b.ID) })
 	return list
 }
 
--- a/internal/ownership/handover.go
+++ b/internal/ownership/handover.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"sort"
 
 	"umberpaddle/internal/wire"
@@ -34,7 +36,8 @@
 	if next == "" || !n.LeaseValid() {
 		return
 	}
-	for class, c := range n.claims {
+	for _, class := range slices.Sorted(maps.Keys(n.claims)) {
+		c := n.claims[class]
 		n.log(slog.LevelInfo, "class handed over", "class", class, "term", c.Term, "to", next)
 		n.handingOver[class] = c.Term
 	}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -291,7 +291,8 @@
 }
 
 func (n *Node) dropClaims() {
-	for class, c := range n.claims {
+	for _, class := range slices.Sorted(maps.Keys(n.claims)) {
+		c := n.claims[class]
 		n.log(slog.LevelInfo, "class given up", "class", class, "term", c.Term)
 		delete(n.claims, class)
 	}
@@ -299,7 +300,8 @@
 
 // followClaims makes the claims match the mirror.
 func (n *Node) followClaims() {
-	for class, c := range n.claims {
+	for _, class := range slices.Sorted(maps.Keys(n.claims)) {
+		c := n.claims[class]
 		r, ok := n.holders[class]
 		if !ok || !n.isOurs(r) || r.version != c.Term || n.mapping[class].Node != n.Name {
 			n.log(slog.LevelInfo, "class given up", "class", class, "term", c.Term)
