Fences: one that gets no answer is repeated within the wait of its report

Cause: with a fence at a time and each lost one refusing its report, a suspect whose order was held up waited for three to four seconds and more, and its machine was adopted as much later.

Change: fences are calls of their own beside other orders, and are repeated after 0.3 s, 0.6 s and so on while the report waits; repeats have a bound of their own. A lost fence says nothing about a silent machine.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -60,11 +60,12 @@
 	preemptions    map[string]*preemption
 	nextPreemption time.Duration
 	// directCalls are those under way; touched are machines with new plans.
-	directCalls     map[uint64]*directCall
-	lastDirectCall  uint64
-	probesInFlight  int // of orders, those that launch nothing
-	fencesInFlight  int // of these, those that only show a worker our token
-	plannedMachines []string
+	directCalls    map[uint64]*directCall
+	lastDirectCall uint64
+	probesInFlight int // of orders, those that launch nothing
+	// fencesInFlight are those that only show a worker our token, fenceRepeats the repeats among them.
+	fencesInFlight, fenceRepeats int
+	plannedMachines              []string
 	// The order of jobs, kept for a moment.
 	sorted            []*jobs.Job
 	sortedAt          time.Duration
@@ -81,7 +82,7 @@
 	judge              authority.Judge
 	renewals           renewalCounts
 	// heldReports are those whose answer waits until the machine has seen our token, by machine;
-	// fenceQueue are machines that are to be sent an order for it.
+	// fenceQueue are machines that are to be sent a first order for it.
 	heldReports      map[string]*heldReport
 	fenceQueue       []string
 	nextKnowledgeLog time.Duration
@@ -256,7 +257,7 @@
 		c.handedOverAt = t
 	}
 	c.followClaims()
-	c.expireHeldReports()
+	c.tendHeldReports()
 	c.manageMachines()
 	c.updateActiveJobs()
 	c.updateGangs()
--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -39,7 +39,8 @@
 	tasks    []taskRef
 	attempts []uint64 // their attempts
 	probe    bool     // launches nothing: what does the machine run?
-	fence    bool     // a probe that is sent so that the machine sees our token
+	fence    bool     // launches nothing: the machine is to see our token
+	repeat   bool     // of a fence
 }
 
 // sendDirectLaunches tells machines at once what was planned for them, so many at a time as
@@ -50,7 +51,7 @@
 func (c *Core) sendDirectLaunches() {
 	sent := 0
 	for _, id := range c.plannedMachines {
-		if len(c.directCalls)-c.probesInFlight >= limits.DirectInFlight {
+		if len(c.directCalls)-c.probesInFlight-c.fencesInFlight >= limits.DirectInFlight {
 			break
 		}
 		sent++
@@ -104,12 +105,13 @@
 		return
 	}
 	delete(c.directCalls, x.ID)
+	if call.fence {
+		c.fenceReplied(call, x)
+		return
+	}
 	if call.probe {
 		c.probesInFlight--
 	}
-	if call.fence {
-		c.fencesInFlight--
-	}
 	m := c.pool.Machines[call.machine]
 	if m != nil {
 		m.DirectInFlight = false
@@ -121,8 +123,7 @@
 	default:
 		c.launchesReplied(m, call, x)
 	}
-	c.releaseHeldReport(call)
-	c.sendFences()
+	c.answerHeldReport(call.machine)
 	// What was planned while the order was under way goes at once, but only to a worker that answers:
 	// guards against calls without a pause to one that refuses connections.
 	if load := c.loads[call.machine]; x.Status == 200 && load != nil && load.planned > 0 {
@@ -192,7 +193,7 @@
 		return
 	}
 	for _, m := range c.pool.Sorted() {
-		if c.probesInFlight-c.fencesInFlight >= limits.ProbesInFlight {
+		if c.probesInFlight >= limits.ProbesInFlight {
 			return
 		}
 		if m.DirectInFlight || m.Deleting || m.Lost || m.Address == "" || t < m.NextProbe || t-m.LastReport <= c.pool.Report*5/4+limits.ProbeAfter {
@@ -205,15 +206,13 @@
 
 // sendUntracked sends a machine commands that need no account of their own, or none: stops may
 // be carried out late, and again. The answer tells what it runs.
-func (c *Core) sendUntracked(m *workers.Machine, session uint64, cmds []wire.Command) *directCall {
+func (c *Core) sendUntracked(m *workers.Machine, session uint64, cmds []wire.Command) {
 	term := c.active[m.Class]
 	m.DirectInFlight = true
 	c.probesInFlight++
 	c.lastDirectCall++
-	call := &directCall{machine: m.ID, session: session, term: term, probe: true}
-	c.directCalls[c.lastDirectCall] = call
+	c.directCalls[c.lastDirectCall] = &directCall{machine: m.ID, session: session, term: term, probe: true}
 	c.out = append(c.out, DirectCall{ID: c.lastDirectCall, Address: m.Address, Body: wire.Orders{Token: term, Session: session, Commands: cmds}, Until: c.ownership.ActUntil()})
-	return call
 }
 
 // probeReplied takes in what a machine answered that was asked what it runs.
@@ -221,11 +220,25 @@
 	if c.active[m.Class] != call.term {
 		return
 	}
-	r := &wire.Report{}
-	if (x.Status != 200 && x.Status != 409) || wire.Decode(x.Body, r) != nil || r.Machine != m.ID {
+	r := reportIn(m, x)
+	if r == nil {
 		m.ProbeFailed = true
 		return
 	}
+	c.takeProbe(m, call, r)
+}
+
+// reportIn reads the report that a worker answers an order with; nil: there is none.
+func reportIn(m *workers.Machine, x DirectReply) *wire.Report {
+	r := &wire.Report{}
+	if (x.Status != 200 && x.Status != 409) || wire.Decode(x.Body, r) != nil || r.Machine != m.ID {
+		return nil
+	}
+	return r
+}
+
+// takeProbe takes in the report of a machine that was asked what it runs.
+func (c *Core) takeProbe(m *workers.Machine, call *directCall, r *wire.Report) {
 	resolved, found := m.Resolved(), m.Term == call.term
 	if !c.pool.ReceiveProbe(c.now.Steady, m, r, call.term, call.session) {
 		return
--- a/internal/controller/fences.go
+++ b/internal/controller/fences.go
@@ -16,11 +16,14 @@
 type heldReport struct {
 	checkin  Checkin
 	deadline time.Duration
+	// orders is how many fences were sent for it, and nextOrder when another one is due.
+	orders    int
+	nextOrder time.Duration
 }
 
-// fenceFirst holds the answer to a report, and sends its machine an order without commands that shows
-// it our token. From then on the worker refuses the orders of earlier owners, and its answer lists what
-// they have started. Guards against a cancelled task that such an order started between a
+// fenceFirst holds the answer to a report, and sends its machine a fence: an order without commands
+// that shows it our token. From then on the worker refuses the orders of earlier owners, and its answer lists
+// what they have started. Guards against a cancelled task that such an order started between a
 // report and its answer: nobody knew of it, and it ran for a whole lease.
 func (c *Core) fenceFirst(x Checkin, m *workers.Machine, v authority.Verdict) {
 	if earlier := c.heldReports[m.ID]; earlier != nil {
@@ -30,44 +33,68 @@
 	c.log(slog.LevelDebug, "renewal waits for a fence", "machine", m.ID, "session", m.Session, "term", m.Term, "token", x.Report.Token, "job", v.CauseJob)
 	c.heldReports[m.ID] = &heldReport{checkin: x, deadline: c.now.Steady + limits.FenceWait}
 	c.fenceQueue = append(c.fenceQueue, m.ID)
-	c.sendFences()
+	c.sendQueuedFences()
 }
 
-// sendFences sends the orders that are queued, as many at a time as limits.FencesInFlight allows. A
-// machine with an order under way is left out: that one's answer decides.
-func (c *Core) sendFences() {
+// sendQueuedFences sends the first fences that wait for their turn.
+func (c *Core) sendQueuedFences() {
 	for len(c.fenceQueue) > 0 && c.fencesInFlight < limits.FencesInFlight {
-		id := c.fenceQueue[0]
+		machine := c.fenceQueue[0]
 		c.fenceQueue = c.fenceQueue[1:]
-		m, held := c.pool.Machines[id], c.heldReports[id]
-		if m == nil || held == nil || m.DirectInFlight {
-			continue
+		if held := c.heldReports[machine]; held != nil && held.orders == 0 {
+			c.sendFence(machine, held)
 		}
-		call := c.sendUntracked(m, held.checkin.Report.Session, []wire.Command{})
-		call.fence = true
-		c.fencesInFlight++
 	}
 }
 
-// releaseHeldReport decides on the held report of a machine that an order, which is over now, was
-// sent to.
-func (c *Core) releaseHeldReport(call *directCall) {
-	held := c.heldReports[call.machine]
-	if held == nil {
+// sendFence sends a fence for a held report. It may leave beside other orders: it launches nothing.
+func (c *Core) sendFence(machine string, held *heldReport) {
+	m := c.pool.Machines[machine]
+	if m == nil {
 		return
 	}
-	m := c.pool.Machines[call.machine]
-	switch {
-	case m != nil && c.isFenced(m, held):
-		delete(c.heldReports, call.machine)
-		c.renewals.Fenced++
-		c.renew(held.checkin, m, workers.Overtaken)
-	case m != nil && !call.fence:
-		c.fenceQueue = append(c.fenceQueue, m.ID)
-	default:
-		c.renewals.FenceLost++
-		c.refuseHeldReport(call.machine, "the order was not answered")
+	call := &directCall{machine: m.ID, session: held.checkin.Report.Session, term: m.Term, fence: true, repeat: held.orders > 0}
+	held.nextOrder = c.now.Steady + limits.FenceRepeatAfter<<held.orders
+	held.orders++
+	c.renewals.FenceOrders++
+	c.fencesInFlight++
+	if call.repeat {
+		c.fenceRepeats++
 	}
+	c.lastDirectCall++
+	c.directCalls[c.lastDirectCall] = call
+	orders := wire.Orders{Token: call.term, Session: call.session, Commands: []wire.Command{}}
+	c.out = append(c.out, DirectCall{ID: c.lastDirectCall, Address: m.Address, Body: orders, Until: c.ownership.ActUntil()})
+}
+
+// fenceReplied takes in what came of a fence.
+func (c *Core) fenceReplied(call *directCall, x DirectReply) {
+	c.fencesInFlight--
+	if call.repeat {
+		c.fenceRepeats--
+	}
+	if m := c.pool.Machines[call.machine]; m != nil && c.active[m.Class] == call.term {
+		if r := reportIn(m, x); r != nil {
+			c.takeProbe(m, call, r)
+		}
+		c.answerHeldReport(m.ID)
+	}
+	c.sendQueuedFences()
+	if c.ownership.MayLaunch() {
+		c.sendDirectLaunches()
+	}
+}
+
+// answerHeldReport answers the held report of a machine, if there is one and the machine has seen our
+// token since.
+func (c *Core) answerHeldReport(machine string) {
+	m, held := c.pool.Machines[machine], c.heldReports[machine]
+	if m == nil || held == nil || !c.isFenced(m, held) {
+		return
+	}
+	delete(c.heldReports, machine)
+	c.renewals.Fenced++
+	c.renew(held.checkin, m, workers.Overtaken)
 }
 
 // isFenced tells whether a machine has seen our token in the session of a held report, so that its
@@ -77,25 +104,30 @@
 	return ours && c.ownership.MayAnswer() && m.Term == term && m.Adopted && m.Session == held.checkin.Report.Session
 }
 
-// refuseHeldReport answers a held report with 503: its worker tries again in a second or two.
-func (c *Core) refuseHeldReport(machine, why string) {
-	if m := c.pool.Machines[machine]; m != nil {
-		m.NotFenced = true
-	}
-	c.log(slog.LevelInfo, "renewal withheld", "machine", machine, "reason", string(authority.NotFenced), "why", why)
-	c.refuseReport(c.heldReports[machine].checkin)
-	delete(c.heldReports, machine)
-}
-
-// expireHeldReports refuses the held reports whose machines could not be shown our token in time.
-func (c *Core) expireHeldReports() {
+// tendHeldReports repeats fences that got no answer, and refuses the reports that have waited for too
+// long: their workers try again in a second or two.
+func (c *Core) tendHeldReports() {
 	if len(c.heldReports) == 0 {
 		return
 	}
 	for _, machine := range slices.Sorted(maps.Keys(c.heldReports)) {
-		if c.now.Steady >= c.heldReports[machine].deadline {
-			c.renewals.FenceLate++
-			c.refuseHeldReport(machine, "the order was not answered in time")
+		held := c.heldReports[machine]
+		switch {
+		case c.now.Steady >= held.deadline:
+			c.refuseHeldReport(machine, held)
+		case held.orders > 0 && c.now.Steady >= held.nextOrder && c.fenceRepeats < limits.FenceRepeats && c.fencesInFlight < limits.FencesInFlight:
+			c.sendFence(machine, held)
 		}
 	}
 }
+
+// refuseHeldReport answers a held report with 503.
+func (c *Core) refuseHeldReport(machine string, held *heldReport) {
+	delete(c.heldReports, machine)
+	c.renewals.NotFenced++
+	if m := c.pool.Machines[machine]; m != nil {
+		m.NotFenced = true
+	}
+	c.log(slog.LevelInfo, "renewal withheld", "machine", machine, "session", held.checkin.Report.Session, "reason", string(authority.NotFenced), "orders", held.orders)
+	c.refuseReport(held.checkin)
+}
--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -217,7 +217,7 @@
 func (c *Core) mayStopDirectly(m *workers.Machine) bool {
 	_, ours := c.active[m.Class]
 	reachable := m.Adopted && !m.Lost && !m.Deleting && m.Address != ""
-	return ours && reachable && !m.DirectInFlight && c.probesInFlight-c.fencesInFlight < limits.ProbesInFlight
+	return ours && reachable && !m.DirectInFlight && c.probesInFlight < limits.ProbesInFlight
 }
 
 // updateGangs adopts what earlier owners started, gives up what stops for too long, and
--- a/internal/controller/renewals.go
+++ b/internal/controller/renewals.go
@@ -22,10 +22,10 @@
 	Stopping  int // of these, with stops of cancelled tasks
 	Withheld  int // not given, since an order may start a cancelled task too late
 	// Reports whose answer waited until the machine had seen our token, since an earlier owner's
-	// order may start a cancelled task: Fenced of them were answered with 200 after that. The others
-	// were refused: the order for it was lost (FenceLost), or had no answer in time (FenceLate).
-	// FenceLeases counts machines whose lease ended after such a refusal.
-	FenceHeld, Fenced, FenceLost, FenceLate, FenceLeases int
+	// order may start a cancelled task: Fenced of them were answered with 200 after that, NotFenced
+	// refused. FenceOrders counts the orders for it, FenceLeases the machines whose lease
+	// ended after such a refusal.
+	FenceHeld, Fenced, NotFenced, FenceOrders, FenceLeases int
 	// Violations counts answers that would have left a cancelled task running: each is a fault of
 	// this program.
 	Violations int
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -346,12 +346,15 @@
 	// DirectTimeout bounds one; a worker answers within milliseconds.
 	DirectTimeout = 2 * time.Second
 	// FencesInFlight bounds the orders without commands that only show workers a new owner's token,
-	// apart from other orders: a takeover may need hundreds within the workers' leases, and those to
-	// machines that don't answer must not hold up the others.
-	FencesInFlight = 96
-	// FenceWait is for how long the answer to a report waits for that: an order's answer comes
-	// within DirectTimeout, and a worker waits 4 s for the report's.
+	// apart from other orders: a takeover may need hundreds within the workers' leases. FenceRepeats
+	// of them may be repeats, so that machines that don't answer hold up no others.
+	FencesInFlight = 192
+	FenceRepeats   = 96
+	// FenceWait is for how long the answer to a report waits for that: a worker waits 4 s for it.
 	FenceWait = 2500 * time.Millisecond
+	// FenceRepeatAfter is from when on a fence without an answer is sent once more, then after twice
+	// that time, and so on: a refused report costs its worker two seconds and more.
+	FenceRepeatAfter = 300 * time.Millisecond
 	// DirectSlack, added to a report interval, is from what silence on a machine is
 	// sent no orders: they would hang.
 	DirectSlack = 500 * time.Millisecond
