--- a/internal/controller/fences.go
+++ b/internal/controller/fences.go
@@ -114,15 +114,20 @@
 		held := c.heldReports[machine]
 		switch {
 		case c.now.Steady >= held.deadline:
-			c.refuseHeldReport(machine, held)
+			c.refuseHeldReport(machine)
 		case held.orders > 0 && c.now.Steady >= held.nextOrder && c.fenceRepeats < limits.FenceRepeats && c.fencesInFlight < limits.FencesInFlight:
 			c.sendFence(machine, held)
 		}
 	}
 }
 
-// refuseHeldReport answers a held report with 503.
-func (c *Core) refuseHeldReport(machine string, held *heldReport) {
+// refuseHeldReport answers the held report of a machine, if there is one, with 503. Guards, where a class is
+// given up, against fences for it once the class is taken again: they would leave under no term.
+func (c *Core) refuseHeldReport(machine string) {
+	held := c.heldReports[machine]
+	if held == nil {
+		return
+	}
 	delete(c.heldReports, machine)
 	c.renewals.NotFenced++
 	if m := c.pool.Machines[machine]; m != nil {
--- a/internal/controller/owned_classes.go
+++ b/internal/controller/owned_classes.go
@@ -91,6 +91,7 @@
 func (c *Core) leaveClass(class string) {
 	for _, m := range c.pool.Sorted() {
 		if m.Class == class {
+			c.refuseHeldReport(m.ID)
 			c.clearMachine(m.ID)
 			c.pool.Drop(m.ID)
 		}
