Test: drawn renewals with orders of earlier owners are fenced or bounded

Cause: the judge's new branch was only tested through the core.

Change: a property test draws own and earlier orders: a fence is asked for exactly where it would allow the renewal, and an answer that ignores an earlier order is found.

--- a/internal/authority/renewal_test.go
+++ b/internal/authority/renewal_test.go
@@ -91,3 +91,40 @@
 		}
 	}
 }
+
+// TestEarlierOrdersAreFencedOrBounded draws what an owner knows of orders of its own and of earlier owners: a
+// renewal is allowed no later than any of them bounds, a fence is asked for exactly where it would allow the
+// renewal, and an answer that ignores an earlier order is found.
+func TestEarlierOrdersAreFencedOrBounded(t *testing.T) {
+	const staleness = 20 * second
+	seconds := func(t *rapid.T, name string) time.Duration {
+		return time.Duration(rapid.IntRange(-40, 60).Draw(t, name)) * second
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		r := Renewal{Now: seconds(t, "now"), ActUntil: seconds(t, "until"), MaxStaleness: staleness}
+		for range rapid.IntRange(0, 2).Draw(t, "own orders") {
+			r.MayStart = append(r.MayStart, PossibleStart{Attempt{"job-1/0", 1}, seconds(t, "told")})
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "earlier orders") {
+			r.EarlierOrders = append(r.EarlierOrders, EarlierOrder{"job-2", seconds(t, "told")})
+		}
+		fenced := r
+		fenced.EarlierOrders = nil
+		v, once := Rules{}.JudgeRenewal(r), Rules{}.JudgeRenewal(fenced)
+		latest, overdue := once.Until, false
+		for _, o := range r.EarlierOrders {
+			latest = min(latest, o.ToldAfter+staleness)
+			overdue = overdue || r.Now >= o.ToldAfter+staleness
+		}
+		if v.Renew != (r.Now < latest) || v.Renew && v.Until != latest {
+			t.Fatalf("%+v of %+v", v, r)
+		}
+		if v.Fence != (once.Renew && !v.Renew) || v.Fence && (v.Reason != NotFenced || v.CauseJob == "") {
+			t.Fatalf("fence: %+v of %+v", v, r)
+		}
+		var notFenced *NotFencedError
+		if err := (Rules{}).CheckAnswer(r, v.Stops); errors.As(err, &notFenced) != overdue {
+			t.Fatalf("answer checked: %v of %+v", err, r)
+		}
+	})
+}
