--- a/internal/controller/earlier_orders_test.go
+++ b/internal/controller/earlier_orders_test.go
@@ -214,39 +214,6 @@
 	}
 }
 
-// reportUnfenced steps the owner with a report whose worker has seen an earlier token, and returns all
-// that the owner does about it.
-func (o *ownerOfLongTasks) reportUnfenced(token uint64) []Output {
-	o.t.Helper()
-	m := o.machine
-	return o.step(Checkin{Ref: 1 << 40, Report: &wire.Report{Machine: m.ID, Address: m.Address, Type: m.Class, Zone: m.Zone, Spot: m.Spot,
-		Session: m.Session, Seq: m.Seq + 1, Token: token, Tasks: m.Tasks}})
-}
-
-// fenceOf finds the order without commands that was sent to the owner's machine.
-func (o *ownerOfLongTasks) fenceOf(out []Output) *DirectCall {
-	o.t.Helper()
-	for _, x := range out {
-		if call, ok := x.(DirectCall); ok && call.Address == o.machine.Address {
-			if call.Body.Token != o.machine.Term || call.Body.Session != o.machine.Session || len(call.Body.Commands) > 0 {
-				o.t.Errorf("not an order that only shows the token: %+v", call.Body)
-			}
-			return &call
-		}
-	}
-	return nil
-}
-
-// answersOf lists the answers to reports.
-func answersOf(out []Output) (list []Answer) {
-	for _, x := range out {
-		if a, ok := x.(Answer); ok {
-			list = append(list, a)
-		}
-	}
-	return list
-}
-
 // TestOnlySuspectsWaitForAFence: a machine whose report names an earlier token is renewed at once unless
 // an earlier owner may have ordered a task of a cancelled job there, of which its user was told too long ago.
 func TestOnlySuspectsWaitForAFence(t *testing.T) {
