--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -23,6 +23,7 @@
 	start    time.Time
 	out      *os.File
 	dir      string // temporary folder
+	zone     string
 	state    *stateService
 	cloud    *cloud
 	nodes    []*node
@@ -85,7 +86,7 @@
 		cannotRun("%v", err)
 	}
 	workers := cluster["workers"].(map[string]any)
-	w := &world{start: time.Now(), out: out, dir: temporary, state: newStateService(), jobs: map[string]*job{}, onTask: map[string]map[string]bool{}, done: map[string]bool{},
+	w := &world{start: time.Now(), out: out, dir: temporary, zone: types[0].Valleys[0], state: newStateService(), jobs: map[string]*job{}, onTask: map[string]map[string]bool{}, done: map[string]bool{},
 		reportS: workers["report_s"].(float64), leaseS: workers["lease_s"].(float64), cancelS: workers["cancel_s"].(float64), settings: cluster, teams: teams, usage: map[string]float64{}, starts: map[string]int{}}
 	current = w
 	lag := cluster["cloud"].(map[string]any)["list_lag_s"].(float64)
@@ -184,14 +185,14 @@
 		others := []map[string]any{}
 		for _, other := range w.nodes {
 			if other != n {
-				others = append(others, map[string]any{"label": other.label, "location": "kranj", "addr": other.peer})
+				others = append(others, map[string]any{"label": other.label, "location": w.zone, "addr": other.peer})
 			}
 		}
-		cluster := map[string]any{"size": len(w.nodes), "zones": []string{"kranj"}, "teams": w.teams}
+		cluster := map[string]any{"size": len(w.nodes), "zones": []string{w.zone}, "teams": w.teams}
 		for key, value := range w.settings {
 			cluster[key] = value
 		}
-		content, err := json.MarshalIndent(map[string]any{"label": n.label, "location": "kranj", "api_addr": n.api, "peer_bind": n.peer, "others": others,
+		content, err := json.MarshalIndent(map[string]any{"label": n.label, "location": w.zone, "api_addr": n.api, "peer_bind": n.peer, "others": others,
 			"external": map[string]any{"cloud": cloudAddr, "state": stateAddr}, "cluster": cluster}, "", " ")
 		if err != nil {
 			cannotRun("%v", err)
