--- a/review/_standin/wire.go
+++ b/review/_standin/wire.go
@@ -38,7 +38,7 @@
 	w.Write(content)
 }
 
-// post sends a request and decodes the answer into v, if v is not nil. Status 0 means no answer.
+// call sends a request and decodes the answer into v, if v is not nil. Status 0 means no answer.
 func call(client *http.Client, method, url string, body, v any) int {
 	var reader io.Reader
 	if body != nil {
@@ -69,7 +69,7 @@
 
 // serve serves a handler on a free loopback port and returns the address.
 func serve(handler http.Handler) (string, *http.Server) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", loopbackIP+":0")
 	if err != nil {
 		cannotRun("listen: %v", err)
 	}
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -103,11 +103,15 @@
 	return w
 }
 
+// loopbackIP is a loopback address of this program's own, so that several that run at once don't take each
+// other's ports.
+var loopbackIP = fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()/62500%200, 1+os.Getpid()/250%250, 1+os.Getpid()%250)
+
 // freeAddr returns a loopback address with a free port below the range from which the system takes
 // ports for connections.
 func freeAddr() string {
 	for range 1000 {
-		addr := fmt.Sprintf("127.0.0.1:%d", 20000+rand.Intn(12000))
+		addr := fmt.Sprintf("%s:%d", loopbackIP, 20000+rand.Intn(12000))
 		if listener, err := net.Listen("tcp4", addr); err == nil {
 			listener.Close()
 			return addr
