--- a/review/_world2/main.go
+++ b/review/_world2/main.go
@@ -37,7 +37,7 @@
 }{
 	"machines": {twoKinds(5, 4), playMachines},
 	"quota":    {twoKinds(30, 2), playQuota},
-	"waiting":  {oneMachine(), playWaiting},
+	"waiting":  {oneGPUMachine(), playWaiting},
 }
 
 func main() {
--- a/review/_world2/state.go
+++ b/review/_world2/state.go
@@ -42,7 +42,8 @@
 	writes    *bucket
 	outage    bool
 	refused   map[string]bool // nodes that alone get 503
-	// slowWatch is how long after a change the answer to a watch of a node leaves.
+	count     int             // requests served
+	// slow returns for a node, if set, how late the answer to a request leaves. It is called with mu held.
 	slow map[string]func(method, path string) time.Duration
 }
 
@@ -145,6 +146,7 @@
 	s.w.mu.Lock()
 	defer s.w.mu.Unlock()
 	s.expire()
+	s.count++
 	if s.outage || s.refused[label] {
 		return 503, nil
 	}
