--- a/review/_world2/main.go
+++ b/review/_world2/main.go
@@ -35,10 +35,10 @@
 	config clusterConfig
 	play   func(c *caseRun) error
 }{
-	"machines": {twoKinds(5, 4), playMachines},
 	"quota":    {twoKinds(30, 2), playQuota},
 	"started":  {twoKinds(5, 4), playStarted},
-	"waiting":  {oneGPUMachine(), playWaiting},
+	"finished": {twoKinds(5, 4), playFinished},
+	"kept":     {withGangs(), playKept},
 }
 
 func main() {
--- a/review/_world2/nodes.go
+++ b/review/_world2/nodes.go
@@ -56,6 +56,9 @@
 
 // startNodes writes the settings files and starts the controllers.
 func (w *world) startNodes(dir string) error {
+	if w.cfg.objectives == nil {
+		w.cfg.objectives = []any{}
+	}
 	for i := range w.cfg.nodes {
 		n := &node{w: w, label: fmt.Sprintf("hut-%d", i), settings: filepath.Join(dir, fmt.Sprintf("hut-%d.json", i))}
 		var err error
@@ -89,7 +92,7 @@
 		c := w.cfg
 		text, err := json.MarshalIndent(map[string]any{"label": n.label, "location": "a", "api_addr": n.apiAddr, "peer_bind": n.peerAddr, "others": others,
 			"external": map[string]any{"cloud": cloud, "state": state},
-			"cluster": map[string]any{"size": c.nodes, "zones": []string{"a"}, "teams": c.teams, "objectives": []any{},
+			"cluster": map[string]any{"size": c.nodes, "zones": []string{"a"}, "teams": c.teams, "objectives": c.objectives,
 				"workers":        map[string]any{"report_s": c.reportS, "lease_s": c.leaseS, "gang_wait_s": c.gangWaitS, "gang_peer_s": c.gangPeerS, "cancel_s": c.cancelS},
 				"state":          map[string]any{"rps": c.rps, "write_rps": c.writeRPS, "value_kb": c.valueKB, "txn_ops": c.txnOps},
 				"cloud":          map[string]any{"rps": c.cloudRPS, "list_lag_s": c.listLagS},
--- a/review/_world2/world.go
+++ b/review/_world2/world.go
@@ -46,6 +46,7 @@
 	rps, writeRPS, valueKB   float64
 	txnOps                   int
 	cloudRPS, listLagS       float64
+	objectives               []any
 	bootS                    func(n int) float64 // boot time of the n-th machine
 }
 
