--- a/review/_world2/main.go
+++ b/review/_world2/main.go
@@ -37,6 +37,7 @@
 }{
 	"machines": {twoKinds(5, 4), playMachines},
 	"quota":    {twoKinds(30, 2), playQuota},
+	"started":  {twoKinds(5, 4), playStarted},
 	"waiting":  {oneGPUMachine(), playWaiting},
 }
 
--- a/review/_world2/nodes.go
+++ b/review/_world2/nodes.go
@@ -79,7 +79,11 @@
 		others := []any{}
 		for _, other := range w.nodes {
 			if other != n {
-				others = append(others, map[string]any{"label": other.label, "location": "a", "addr": other.peerAddr})
+				link, err := w.proxy(n, other)
+				if err != nil {
+					return err
+				}
+				others = append(others, map[string]any{"label": other.label, "location": "a", "addr": link})
 			}
 		}
 		c := w.cfg
@@ -106,6 +110,62 @@
 	return nil
 }
 
+// proxy carries what one controller sends to another one, and the answers. While either is cut off from the
+// others, it holds everything back.
+func (w *world) proxy(from, to *node) (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	pass := func(dst, src net.Conn) {
+		defer dst.Close()
+		defer src.Close()
+		buffer := make([]byte, 32<<10)
+		for {
+			n, err := src.Read(buffer)
+			if err != nil {
+				return
+			}
+			w.waitWhile(func() bool { return w.noPeers[from.label] || w.noPeers[to.label] })
+			if _, err := dst.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			client, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				w.waitWhile(func() bool { return w.noPeers[from.label] || w.noPeers[to.label] })
+				server, err := net.Dial("tcp4", to.peerAddr)
+				if err != nil {
+					client.Close()
+					return
+				}
+				go pass(client, server)
+				pass(server, client)
+			}()
+		}
+	}()
+	return listener.Addr().String(), nil
+}
+
+// waitWhile waits while a condition, evaluated with mu held, is true.
+func (w *world) waitWhile(condition func() bool) {
+	for {
+		w.mu.Lock()
+		wait := condition()
+		w.mu.Unlock()
+		if !wait {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // begin starts the process.
 func (n *node) begin() error {
 	line, err := runLine()
--- a/review/_world2/state.go
+++ b/review/_world2/state.go
@@ -128,20 +128,33 @@
 func (s *stateService) handler(label string) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		body := readAll(r)
+		if s.w.lostOnCut(label, r) {
+			panic(http.ErrAbortHandler)
+		}
+		status, answer := s.serve(label, r, body)
 		var delay time.Duration
 		s.w.mu.Lock()
 		if f := s.slow[label]; f != nil {
 			delay = f(r.Method, r.URL.Path)
 		}
 		s.w.mu.Unlock()
-		status, answer := s.serve(label, r, body)
 		if delay > 0 {
 			time.Sleep(delay)
 		}
+		if s.w.lostOnCut(label, r) {
+			panic(http.ErrAbortHandler)
+		}
 		reply(rw, status, answer)
 	}
 }
 
+// lostOnCut reports whether a request, or its answer, is lost since a controller is cut off from the state
+// service: it waits until the controller has given up, or the cut is over.
+func (w *world) lostOnCut(label string, r *http.Request) bool {
+	w.waitWhile(func() bool { return w.noState[label] && r.Context().Err() == nil })
+	return r.Context().Err() != nil
+}
+
 func (s *stateService) serve(label string, r *http.Request, body []byte) (int, any) {
 	s.w.mu.Lock()
 	defer s.w.mu.Unlock()
--- a/review/_world2/worker.go
+++ b/review/_world2/worker.go
@@ -306,6 +306,9 @@
 	index, err := strconv.Atoi(number)
 	j := m.w.jobs[jobID]
 	s := &sheet{task: o.Sheet, job: j, attempt: o.Try, status: "fetching"}
+	if m.w.onLaunch != nil {
+		m.w.onLaunch(m, s, from)
+	}
 	m.sheets[key] = s
 	m.noteChange()
 	cause := ""
--- a/review/_world2/world.go
+++ b/review/_world2/world.go
@@ -29,7 +29,10 @@
 	jobs     map[string]*job // uploaded by the users
 	finished map[string]bool // tasks whose result is kept
 	nodes    []*node
-	usage    func(w *world, what string) // called with mu held after a task began or left
+	noState  map[string]bool                         // controllers that are cut off from the state service
+	noPeers  map[string]bool                         // controllers that are cut off from the other controllers
+	onLaunch func(m *machine, s *sheet, from string) // called with mu held when a worker gets a command to start a task
+	usage    func(w *world, what string)             // called with mu held after a task began or left
 }
 
 // clusterConfig is the deployment that a case plays.
@@ -101,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{start: time.Now(), record: record, cfg: cfg, jobs: map[string]*job{}, finished: map[string]bool{}}
+	w := &world{start: time.Now(), record: record, cfg: cfg, jobs: map[string]*job{}, finished: map[string]bool{}, noState: map[string]bool{}, noPeers: map[string]bool{}}
 	w.state = newStateService(w)
 	w.cloud = newCloud(w)
 	return w, nil
