Cancellations: questions at other nodes wait for the owner only, not for the mirror

The transaction that looks a job up now checks the owner's claim as well, so its reply says who the owner is. A failed notice to an owner is repeated after 100 ms, not 500 ms: the connection to an owner that has restarted fails once, and a user waits for it. Replies to notices pass on faulty jobs again, as they did before.

The test of shared queries expects the owner's claim among the conditions, 6 in place of 5.

--- a/internal/controller/cancel_notices.go
+++ b/internal/controller/cancel_notices.go
@@ -65,7 +65,7 @@
 	if now < notices.nextSend {
 		return
 	}
-	notices.nextSend = now + limits.PeerTimeout + limits.ExtensionInterval // if the message gets no reply at all
+	notices.nextSend = now + limits.PeerTimeout + limits.CancelNoticeRetry // if the call is lost
 	message := PeerMessage{From: c.settings.Label, HoldLaunches: slices.Sorted(maps.Keys(notices.holds)), Cancelled: slices.Sorted(maps.Keys(notices.cancelled))}
 	clear(notices.holds) // not repeated: the notice of the recorded cancellation follows
 	c.outputs = append(c.outputs, PeerCall{Peer: peer, SentAt: now, Msg: message})
@@ -76,10 +76,11 @@
 	call, answer := reply.Call, reply.Answer
 	notices := c.noticesFor(call.Peer)
 	if !answer.Yes {
-		notices.nextSend = max(c.now.Steady, call.SentAt+limits.ExtensionInterval)
+		notices.nextSend = max(c.now.Steady, call.SentAt+limits.CancelNoticeRetry)
 		return
 	}
 	notices.nextSend = c.now.Steady
+	c.jobs.MarkFaulty(answer.Faulty)
 	if answer.Holder != 0 {
 		c.jobs.RecordHold(call.Peer, answer.Holder, call.SentAt, call.Msg.HoldLaunches)
 	}
--- a/internal/controller/peer_messages.go
+++ b/internal/controller/peer_messages.go
@@ -114,37 +114,52 @@
 	c.messageAll(PeerMessage{Counts: changedCounts, Faulty: faultyJobs})
 }
 
+// handlePeerRequest processes a peer's message and answers it.
 func (c *Core) handlePeerRequest(request PeerRequest) {
-	if request.Msg.Probe {
-		c.outputs = append(c.outputs, Answer{Ref: request.Ref, Status: 200, Body: PeerAnswer{Yes: c.store.Mirror.Loaded && !c.store.Down()}})
-		return
+	var answer PeerAnswer
+	switch message := request.Msg; {
+	case message.Probe:
+		answer.Yes = c.store.Mirror.Loaded && !c.store.Down()
+	case message.Visited:
+		answer.Yes = c.lastForeignArrival > 0 && c.now.Steady-c.lastForeignArrival < limits.ForeignArrivalMaxAge
+	case message.Promise:
+		answer = c.answerExtensionRequest(message)
+	default:
+		answer = c.applyPeerNotices(message)
 	}
-	if request.Msg.Visited {
-		c.outputs = append(c.outputs, Answer{Ref: request.Ref, Status: 200, Body: PeerAnswer{Yes: c.lastForeignArrival > 0 && c.now.Steady-c.lastForeignArrival < limits.ForeignArrivalMaxAge}})
-		return
+	c.outputs = append(c.outputs, Answer{Ref: request.Ref, Status: 200, Body: answer})
+}
+
+// answerExtensionRequest decides on a peer's request for an extension.
+func (c *Core) answerExtensionRequest(message PeerMessage) PeerAnswer {
+	answer := PeerAnswer{
+		Yes:    c.ownership.GrantExtension(c.now.Steady, message.From, message.Terms),
+		Vouch:  c.store.Mirror.Loaded,
+		Behind: c.now.Steady - c.store.Mirror.KnownThrough,
+		Uptime: c.ownership.Uptime(),
 	}
-	if request.Msg.Promise {
-		answer := PeerAnswer{Yes: c.ownership.GrantExtension(c.now.Steady, request.Msg.From, request.Msg.Terms), Vouch: c.store.Mirror.Loaded, Behind: c.now.Steady - c.store.Mirror.KnownThrough, Uptime: c.ownership.Uptime()}
-		if answer.Vouch {
-			answer.Cancelled = c.jobs.Cancellations()
-		}
-		c.outputs = append(c.outputs, Answer{Ref: request.Ref, Status: 200, Body: answer})
-		return
+	if answer.Vouch {
+		answer.Cancelled = c.jobs.Cancellations()
 	}
-	c.jobs.HoldLaunches(request.Msg.HoldLaunches)
-	c.jobs.RecordAnnounced(request.Msg.Cancelled)
-	c.mergeCancellations(request.Msg.Cancelled)
-	for id, count := range request.Msg.Counts {
+	return answer
+}
+
+// applyPeerNotices records what a peer tells of jobs.
+func (c *Core) applyPeerNotices(message PeerMessage) PeerAnswer {
+	c.jobs.HoldLaunches(message.HoldLaunches)
+	c.jobs.RecordAnnounced(message.Cancelled)
+	c.mergeCancellations(message.Cancelled)
+	for id, count := range message.Counts {
 		c.jobs.SetDisplayCounts(id, count[0], count[1])
 	}
 	// Without this exchange, every new owner would launch as many tasks of a faulty job as of any other
 	// job.
-	c.jobs.MarkFaulty(request.Msg.Faulty)
-	answer := PeerAnswer{Yes: true, Faulty: c.jobs.JobsMarkedFaulty(request.Msg.Faulty)}
-	if len(request.Msg.HoldLaunches) > 0 {
+	c.jobs.MarkFaulty(message.Faulty)
+	answer := PeerAnswer{Yes: true, Faulty: c.jobs.JobsMarkedFaulty(message.Faulty)}
+	if len(message.HoldLaunches) > 0 {
 		answer.Holder = c.ownership.Incarnation
 	}
-	c.outputs = append(c.outputs, Answer{Ref: request.Ref, Status: 200, Body: answer})
+	return answer
 }
 
 // handlePeerReply processes the result of a message to a peer.
--- a/internal/jobs/answers.go
+++ b/internal/jobs/answers.go
@@ -86,7 +86,7 @@
 	} else if recorded := r.recordedCancellation(request.jobID); recorded != nil {
 		r.awaitConfirmation(recorded, request)
 	} else {
-		r.answerWithFinal(request)
+		r.answerWithFinal(request, nil)
 	}
 }
 
--- a/internal/jobs/cancellations.go
+++ b/internal/jobs/cancellations.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"umberpaddle/internal/limits"
-	"umberpaddle/internal/ownership"
 	"umberpaddle/internal/statestore"
 	"umberpaddle/internal/wire"
 )
@@ -40,24 +39,16 @@
 func (r *Registry) startCancellation(request *lookup, version uint64, class string) {
 	pending := r.pendingCancellation(request.jobID)
 	pending.class = class
-	launcher := r.ownership.Launcher(class)
-	r.requestHold(pending, launcher)
-	guard := r.ownership.LauncherGuard(class)
-	r.writeCancellation(request, pending, version, &verifiedLauncher{launcher, guard})
-}
-
-// verifiedLauncher is a launcher, with the condition of a transaction that it is the launcher still.
-type verifiedLauncher struct {
-	launcher ownership.Launcher
-	guard    wire.Guard
+	check := r.newLauncherCheck(class)
+	r.requestHold(pending, check.launcher)
+	r.writeCancellation(request, pending, version, check)
 }
 
 // writeCancellation records the cancellation of a job whose record has the given version, and
 // answers the request once the cancellation may be confirmed. If the job has ended or its record has
-// changed, it answers with the final state, or asks the user to retry if there is none. If verified is
-// set, the transaction also verifies the launcher, which saves the wait for the mirror; if the launcher
-// has changed, the cancellation is recorded without that condition.
-func (r *Registry) writeCancellation(request *lookup, pending *pendingCancellation, version uint64, verified *verifiedLauncher) {
+// changed, it answers with the final state, or asks the user to retry if there is none. If check is set
+// and the launcher has changed, the cancellation is recorded without that condition.
+func (r *Registry) writeCancellation(request *lookup, pending *pendingCancellation, version uint64, check *launcherCheck) {
 	doneCount := 0
 	if job := r.OpenJobs[request.jobID]; job != nil {
 		doneCount = max(job.DoneCount, job.displayDone)
@@ -66,8 +57,8 @@
 	txn := wire.Txn{
 		Guards: []wire.Guard{{Key: keyJob + request.jobID, Version: version}, {Key: keyFinal + request.jobID}},
 		Then:   []wire.Op{{Key: keyFinal + request.jobID, Value: final}, {Key: keyCancelled + request.jobID, Value: true}}}
-	if verified != nil {
-		txn.Guards = append(txn.Guards, verified.guard)
+	if check != nil {
+		txn.Guards = append(txn.Guards, check.guard)
 	}
 	pending.writesInFlight++
 	r.store.Txn(statestore.PriorityUser, limits.SubmitTimeout, txn, func(reply statestore.Reply) {
@@ -76,27 +67,18 @@
 		decoded := wire.Decode(reply.Body, &txnReply) == nil
 		switch {
 		case reply.Status == statestore.OK && decoded:
-			r.handleCancellationRecorded(request, final, txnReply.Revision, verified)
-		case reply.Status == statestore.Conflict && decoded && verified != nil && slices.Equal(txnReply.Failed, []string{verified.guard.Key}):
+			delete(r.unannounced, request.jobID)
+			r.awaitConfirmation(r.recordCancellation(request.jobID, final, txnReply.Revision, check.result(txnReply)), request.waiter)
+		case reply.Status == statestore.Conflict && decoded && check != nil && slices.Equal(txnReply.Failed, []string{check.guard.Key}):
 			r.writeCancellation(request, pending, version, nil)
-		case reply.Status == statestore.Conflict:
-			r.answerWithFinal(request.waiter)
+		case reply.Status == statestore.Conflict && decoded:
+			r.answerWithFinal(request.waiter, check.result(txnReply))
 		default:
 			request.answer(RetryLater())
 		}
 	})
 }
 
-// handleCancellationRecorded continues with a cancellation that this node has just recorded.
-func (r *Registry) handleCancellationRecorded(request *lookup, final finalState, revision uint64, verified *verifiedLauncher) {
-	delete(r.unannounced, request.jobID)
-	pending := r.recordCancellation(request.jobID, final, revision)
-	if verified != nil && pending.revision == revision {
-		pending.launcher, pending.launcherVerified = verified.launcher, true
-	}
-	r.awaitConfirmation(pending, request.waiter)
-}
-
 // ConfirmedAtAnyTime stands for a cancellation that may have been confirmed to users at any time
 // in the past.
 const ConfirmedAtAnyTime = time.Duration(math.MinInt64 / 4)
--- a/internal/jobs/confirmations.go
+++ b/internal/jobs/confirmations.go
@@ -49,9 +49,8 @@
 	// recordedBefore is when this node learned of the record.
 	revision       uint64
 	recordedBefore time.Duration
-	// launcher is the launcher at revision, if launcherVerified is set.
-	launcher         ownership.Launcher
-	launcherVerified bool
+	// launcher is the launcher at revision or later, as a transaction has verified. nil: none has.
+	launcher *ownership.Launcher
 	// acknowledgedBy lists the nodes that acknowledged the notice of the recorded cancellation.
 	acknowledgedBy map[string]bool
 
@@ -119,13 +118,40 @@
 	return notices
 }
 
-// recordCancellation records in memory that a job's cancellation is recorded at a revision.
-func (r *Registry) recordCancellation(jobID string, final finalState, revision uint64) *pendingCancellation {
+// launcherCheck is the launcher that this node knows, and the condition of a transaction that it is the
+// launcher still. The transaction's reply saves the wait until the mirror shows the launcher.
+type launcherCheck struct {
+	launcher ownership.Launcher
+	guard    wire.Guard
+}
+
+func (r *Registry) newLauncherCheck(class string) *launcherCheck {
+	return &launcherCheck{launcher: r.ownership.Launcher(class), guard: r.ownership.LauncherGuard(class)}
+}
+
+// result returns the launcher when the transaction was executed, or nil if that is not known. A nil check
+// has no result.
+func (c *launcherCheck) result(reply wire.TxnReply) *ownership.Launcher {
+	if c == nil || slices.Contains(reply.Failed, c.guard.Key) {
+		return nil
+	}
+	return &c.launcher
+}
+
+// recordCancellation records in memory that a job's cancellation is recorded at a revision. launcher is the
+// launcher at that revision or later, or nil if it is not known.
+func (r *Registry) recordCancellation(jobID string, final finalState, revision uint64, launcher *ownership.Launcher) *pendingCancellation {
 	r.cacheFinal(jobID, final)
 	pending := r.pendingCancellation(jobID)
 	if pending.revision == 0 {
 		pending.final, pending.revision, pending.recordedBefore = final, revision, r.now
 	}
+	if pending.launcher == nil {
+		pending.launcher = launcher
+	}
+	if job := r.OpenJobs[jobID]; job != nil {
+		pending.class = job.GuardClass
+	}
 	return pending
 }
 
@@ -140,18 +166,19 @@
 	if !known || !mirrored {
 		return nil
 	}
-	return r.recordCancellation(jobID, final.finalState, entry.Version)
+	return r.recordCancellation(jobID, final.finalState, entry.Version, nil)
 }
 
-// answerFinal answers with the final state of a job that was read at a revision. The answer to a
-// cancellation waits until no controller can launch tasks of the job.
-func (r *Registry) answerFinal(request *waiter, final finalState, revision uint64) {
+// answerFinal answers with the final state of a job that was recorded at a revision. The answer to a
+// cancellation waits until no controller can launch tasks of the job. launcher is the launcher at that
+// revision or later, or nil if it is not known.
+func (r *Registry) answerFinal(request *waiter, final finalState, revision uint64, launcher *ownership.Launcher) {
 	if final.Status != wire.StatusCancelled || r.finalStates[request.jobID].confirmed {
 		r.cacheFinal(request.jobID, final)
 		request.answer(finalAnswer(request.jobID, final))
 		return
 	}
-	r.awaitConfirmation(r.recordCancellation(request.jobID, final, revision), request)
+	r.awaitConfirmation(r.recordCancellation(request.jobID, final, revision, launcher), request)
 }
 
 // awaitConfirmation answers a request once a recorded cancellation may be confirmed, at once if possible.
@@ -199,12 +226,10 @@
 // launcher's term is older, the launcher must know the cancellation.
 func (r *Registry) confirmationReason(pending *pendingCancellation) confirmationReason {
 	mirrored := r.store.Mirror.Revision >= pending.revision
-	if pending.revision == 0 || !mirrored && !pending.launcherVerified {
+	if pending.revision == 0 || !mirrored && pending.launcher == nil {
 		return notConfirmable
 	}
-	if job := r.OpenJobs[pending.jobID]; job != nil {
-		pending.class = job.GuardClass
-	} else if mirrored {
+	if mirrored && r.OpenJobs[pending.jobID] == nil {
 		return noTaskLeft // the owner that removed the record knew of the cancellation
 	}
 	launcher := r.currentLauncher(pending)
@@ -233,11 +258,10 @@
 }
 
 // currentLauncher returns the launcher of a job's classes at the revision of its cancellation or later.
-// Until the mirror reaches that revision, it is the launcher that the cancellation's transaction verified,
-// if it did.
+// Until the mirror reaches that revision, it is the launcher that a transaction verified, if one did.
 func (r *Registry) currentLauncher(pending *pendingCancellation) ownership.Launcher {
-	if pending.launcherVerified && r.store.Mirror.Revision < pending.revision {
-		return pending.launcher
+	if pending.launcher != nil && r.store.Mirror.Revision < pending.revision {
+		return *pending.launcher
 	}
 	return r.ownership.Launcher(pending.class)
 }
--- a/internal/jobs/confirmations_test.go
+++ b/internal/jobs/confirmations_test.go
@@ -187,3 +187,35 @@
 	}
 	requireStatus(t, (*answers)[0], wire.StatusCancelled)
 }
+
+// TestQueryOfCancelledJobAwaitsOnlyTheOwner checks that a node at which a user asks for a job that was cancelled at
+// another node tells the user as soon as the owner has acknowledged it, even if the node's mirror lags.
+func TestQueryOfCancelledJobAwaitsOnlyTheOwner(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		ownerChanged bool
+	}{{"same owner", false}, {"the owner has changed", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			h, owner, _, _ := newHarnessWithCancellation(t)
+			var query []Answer
+			h.registry.Query(h.now, "job-1", func(a Answer) { query = append(query, a) })
+			h.tick()
+			failed := []string{keyFinal + "job-1"}
+			if test.ownerChanged {
+				failed = append(failed, owner.LauncherGuard("c").Key)
+			}
+			h.reply(0, h.takeTxn(), statestore.Conflict, wire.TxnReply{Failed: failed})
+			h.tick()
+			read := h.gets[0]
+			h.store.HandleReply(h.now, read.ID, 200, h.encode(map[string]any{"path": "x", "v": finalState{Status: wire.StatusCancelled}, "stamp": cancelRevision}))
+			if len(query) != 0 {
+				t.Fatalf("answered before the owner acknowledged: %+v", query)
+			}
+			h.registry.RecordCancellationAcknowledged("owner", []string{"job-1"})
+			h.registry.updateConfirmations()
+			if told := len(query) == 1 && query[0].Status == 200; told == test.ownerChanged {
+				t.Errorf("the query has the answers %+v", query)
+			}
+		})
+	}
+}
--- a/internal/jobs/lookups.go
+++ b/internal/jobs/lookups.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"umberpaddle/internal/limits"
+	"umberpaddle/internal/ownership"
 	"umberpaddle/internal/statestore"
 	"umberpaddle/internal/wire"
 )
@@ -78,7 +79,7 @@
 	if r.lookupInFlight || len(r.queuedLookups) == 0 {
 		return
 	}
-	group, txn := r.nextLookups()
+	group, txn, launcherChecks := r.nextLookups()
 	if len(group) == 0 {
 		return
 	}
@@ -101,7 +102,7 @@
 		for _, request := range group {
 			switch {
 			case failedGuards[keyFinal+request.jobID]:
-				r.answerWithFinal(request.waiter)
+				r.answerWithFinal(request.waiter, launcherChecks[request.jobID].result(txnReply))
 			case guardedKeys[keyJob+request.jobID] && !failedGuards[keyJob+request.jobID]:
 				r.answerFromRead(read, request.waiter, Answer{Status: 404, Body: wire.ErrorBody{Error: "no such job"}})
 			case request.cancel:
@@ -114,8 +115,11 @@
 }
 
 // nextLookups takes as many queued lookups as one transaction can answer. Cancellations of open
-// jobs are sent at once, each in its own transaction.
-func (r *Registry) nextLookups() (group []*lookup, txn wire.Txn) {
+// jobs are sent at once, each in its own transaction. The transaction also checks the launchers of open
+// jobs, of which any may turn out to be cancelled. launcherChecks lists the checks by job.
+func (r *Registry) nextLookups() (group []*lookup, txn wire.Txn, launcherChecks map[string]*launcherCheck) {
+	launcherChecks = map[string]*launcherCheck{}
+	checksByClass := map[string]*launcherCheck{}
 	for len(r.queuedLookups) > 0 && len(txn.Guards)+2 <= r.store.MaxTxnGuards {
 		request := r.queuedLookups[0]
 		r.queuedLookups = r.queuedLookups[1:]
@@ -130,20 +134,29 @@
 		txn.Guards = append(txn.Guards, wire.Guard{Key: keyFinal + request.jobID})
 		if job == nil {
 			txn.Guards = append(txn.Guards, wire.Guard{Key: keyJob + request.jobID})
+		} else {
+			check := checksByClass[job.GuardClass]
+			if check == nil {
+				check = r.newLauncherCheck(job.GuardClass)
+				checksByClass[job.GuardClass] = check
+				txn.Guards = append(txn.Guards, check.guard)
+			}
+			launcherChecks[request.jobID] = check
 		}
 		group = append(group, request)
 	}
-	return group, txn
+	return group, txn, launcherChecks
 }
 
-// answerWithFinal reads the final state of a job and answers with it.
-func (r *Registry) answerWithFinal(request *waiter) {
+// answerWithFinal reads the final state of a job and answers with it. launcher is the launcher of the job's
+// classes after the state was recorded, or nil if it is not known.
+func (r *Registry) answerWithFinal(request *waiter, launcher *ownership.Launcher) {
 	r.store.Get(statestore.PriorityUser, limits.QueryTimeout, keyFinal+request.jobID, func(reply statestore.Reply) {
 		final, revision, ok := decodeFinal(reply)
 		if !ok {
 			request.answer(RetryLater())
 			return
 		}
-		r.answerFinal(request, final, revision)
+		r.answerFinal(request, final, revision, launcher)
 	})
 }
--- a/internal/jobs/registry_test.go
+++ b/internal/jobs/registry_test.go
@@ -161,8 +161,8 @@
 		t.Fatalf("%d transactions were sent, want 1", len(h.txns))
 	}
 	txn := h.txns[0].Body.(wire.Txn)
-	if len(txn.Then) != 0 || len(txn.Guards) != 5 {
-		t.Errorf("the transaction of the queries is %+v, want 5 guards and no writes", txn)
+	if len(txn.Then) != 0 || len(txn.Guards) != 6 { // two for each unknown job, two for job-1 with its owner
+		t.Errorf("the transaction of the queries is %+v, want 6 guards and no writes", txn)
 	}
 	// job-2 exists although it is not in the mirror yet; job-3 does not exist.
 	h.store.HandleReply(h.now, h.txns[0].ID, 409, h.encode(wire.TxnReply{Failed: []string{keyJob + "job-2"}}))
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -78,6 +78,9 @@
 	// AnnouncementWait is how long an owner that has read a cancellation waits for a peer to announce it.
 	// If none does, no peer can reach the owner, and it publishes in the state service what it has read.
 	AnnouncementWait = 100 * time.Millisecond
+	// CancelNoticeRetry is the least time between two tries to tell an owner of a cancellation. A user
+	// waits for it: the connection to an owner that has restarted fails once.
+	CancelNoticeRetry = 100 * time.Millisecond
 	// CancelNoticeRetention is the least time for which a node passes on a cancellation that it
 	// confirmed to a user. After that time, the node still passes it on until the job's record is
 	// known to be removed. By then every owner has received the cancellation or has stopped
