--- a/internal/jobs/registry.go
+++ b/internal/jobs/registry.go
@@ -1,6 +1,7 @@
 // Package jobs keeps the unfinished jobs, answers user requests about jobs, and writes to the
 // state service what must survive a restart: a job before its 201 answer, a cancellation before
-// its 200 answer, and a completion before it is reported to a user.
+// its 200 answer, and a completion before it is reported to a user. Users are told of a cancellation
+// only once no owner can launch a task of the job any more.
 //
 // Keys in the state service:
 //   - u/o/ID is the job. It is never rewritten, and is removed when the job is final and has no
@@ -97,9 +98,24 @@
 
 // New returns an empty registry.
 func New(store *statestore.Store, ownership Ownership, log func(slog.Level, string, ...any)) *Registry {
-	r := &Registry{store: store, ownership: ownership, log: log, OpenJobs: map[string]*Job{}, cancelledJobs: map[string]*Job{}, finalStates: map[string]cachedFinal{},
-		pendingCancellations: map[string]*pendingCancellation{}, launchHolds: map[string]time.Duration{}, unannounced: map[string]unannouncedCancellation{}, confirmedCancellations: map[string]time.Duration{}, submissionsByID: map[string]*submission{},
-		cancellationsKnownThrough: ConfirmedAtAnyTime, nextWriteAt: map[string]time.Duration{}, orphanChunks: map[string]bool{}, orphanDoneSets: map[string]bool{}, finalizedJobs: map[string]*Job{}}
+	r := &Registry{
+		store:                     store,
+		ownership:                 ownership,
+		log:                       log,
+		OpenJobs:                  map[string]*Job{},
+		cancelledJobs:             map[string]*Job{},
+		finalStates:               map[string]cachedFinal{},
+		pendingCancellations:      map[string]*pendingCancellation{},
+		launchHolds:               map[string]time.Duration{},
+		unannounced:               map[string]unannouncedCancellation{},
+		confirmedCancellations:    map[string]time.Duration{},
+		submissionsByID:           map[string]*submission{},
+		cancellationsKnownThrough: ConfirmedAtAnyTime,
+		nextWriteAt:               map[string]time.Duration{},
+		orphanChunks:              map[string]bool{},
+		orphanDoneSets:            map[string]bool{},
+		finalizedJobs:             map[string]*Job{},
+	}
 	r.doneSets = statestore.NewRecordTable(store, keyDoneSets, ownership.OwnerGuard, r.applyDoneSet)
 	return r
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -119,11 +119,32 @@
 // New returns the state of a process. incarnation is a random number that identifies this incarnation of
 // the node; staleness is the result of MaxStaleness for the workers' settings.
 func New(name string, peers []string, incarnation uint64, start, staleness time.Duration, store *statestore.Store, log func(slog.Level, string, ...any)) *Node {
-	return &Node{Name: name, Incarnation: incarnation, SupportedFormat: limits.RecordFormat, store: store, peers: peers, log: log, now: start, start: start,
-		nodes: map[string]versionedRecord{}, mapping: map[string]versionedRecord{}, owners: map[string]versionedRecord{}, lastOwners: map[string]string{}, publishedReads: map[string]versionedRecord{}, latestTerms: map[string]uint64{},
-		endingLeases: map[uint64]bool{}, claims: map[string]*Claim{}, handingOver: map[string]uint64{}, retryAt: map[string]time.Duration{}, extensions: map[string]time.Duration{}, grants: map[string]time.Duration{}, noTakeoverUntil: map[string]time.Duration{},
-		peerReportedThrough: map[string]time.Duration{}, MaxStaleness: staleness,
-		electionJitter: time.Duration(incarnation % uint64(limits.ElectionJitter))}
+	return &Node{
+		Name:                name,
+		Incarnation:         incarnation,
+		SupportedFormat:     limits.RecordFormat,
+		store:               store,
+		peers:               peers,
+		log:                 log,
+		now:                 start,
+		start:               start,
+		nodes:               map[string]versionedRecord{},
+		mapping:             map[string]versionedRecord{},
+		owners:              map[string]versionedRecord{},
+		lastOwners:          map[string]string{},
+		publishedReads:      map[string]versionedRecord{},
+		latestTerms:         map[string]uint64{},
+		endingLeases:        map[uint64]bool{},
+		claims:              map[string]*Claim{},
+		handingOver:         map[string]uint64{},
+		retryAt:             map[string]time.Duration{},
+		extensions:          map[string]time.Duration{},
+		grants:              map[string]time.Duration{},
+		noTakeoverUntil:     map[string]time.Duration{},
+		peerReportedThrough: map[string]time.Duration{},
+		MaxStaleness:        staleness,
+		electionJitter:      time.Duration(incarnation % uint64(limits.ElectionJitter)),
+	}
 }
 
 func keySegment(name string) string { return url.PathEscape(name) }
