Cancellations: a node that reads of one before the job's record asks the owner, too

The class is now looked up each time, and whether a record is left is read from the copy itself.

TestOwnerOfLateJobRecordMustBeInformed fails on the sources before (answered before the owner is informed) and passes now. The tests' harness answers watches, in place of setting the copy's revision.

--- a/internal/jobs/confirmations.go
+++ b/internal/jobs/confirmations.go
@@ -22,9 +22,14 @@
 	OwnerGuard(class string) wire.Guard
 	// RecordFormat returns the newest record format that every node can read.
 	RecordFormat() int
+	// Launcher returns the launcher of a class that this node knows, and LauncherGuard the condition that
+	// it is the launcher still.
 	Launcher(class string) ownership.Launcher
 	LauncherGuard(class string) wire.Guard
+	// EarlierOwnersStopped reports whether no owner of a class before the present one acts any more. The
+	// node except is left out.
 	EarlierOwnersStopped(class, except string) bool
+	// HasRead reports whether a launcher has published that it has read everything up to a revision.
 	HasRead(launcher ownership.Launcher, revision uint64) bool
 	// IsSelf reports whether a launcher is this node, in this or an earlier incarnation.
 	IsSelf(launcher ownership.Launcher) bool
@@ -34,7 +39,7 @@
 // to users yet.
 type pendingCancellation struct {
 	jobID string
-	class string // the job's GuardClass; empty: the job's record is not known
+	class string // the job's GuardClass as read when this node began to record the cancellation; see classOf
 	final finalState
 
 	// holdRequestedFrom is the launcher that was last asked to hold the job's launches. holdAcknowledgedBy
@@ -149,12 +154,18 @@
 	if pending.launcher == nil {
 		pending.launcher = launcher
 	}
-	if job := r.OpenJobs[jobID]; job != nil {
-		pending.class = job.GuardClass
-	}
 	return pending
 }
 
+// classOf returns the class whose launcher must know a cancellation, or "" as long as this node has not read
+// the job's record.
+func (r *Registry) classOf(pending *pendingCancellation) string {
+	if job := r.OpenJobs[pending.jobID]; job != nil {
+		return job.GuardClass
+	}
+	return pending.class
+}
+
 // recordedCancellation returns the pending cancellation of a job, if it is known when the cancellation was
 // recorded: from an earlier read, or from the mirror. Otherwise it returns nil.
 func (r *Registry) recordedCancellation(jobID string) *pendingCancellation {
@@ -225,12 +236,16 @@
 // matters. An owner whose term is newer than the cancellation had read it before it began to act. If the
 // launcher's term is older, the launcher must know the cancellation.
 func (r *Registry) confirmationReason(pending *pendingCancellation) confirmationReason {
+	class := r.classOf(pending)
 	mirrored := r.store.Mirror.Revision >= pending.revision
-	if pending.revision == 0 || !mirrored && pending.launcher == nil {
+	_, hasRecord := r.store.Mirror.Get(keyJob + pending.jobID)
+	switch {
+	case pending.revision == 0 || !mirrored && pending.launcher == nil:
 		return notConfirmable
-	}
-	if mirrored && r.OpenJobs[pending.jobID] == nil {
+	case mirrored && !hasRecord:
 		return noTaskLeft // the owner that removed the record knew of the cancellation
+	case class == "":
+		return notConfirmable // this node has not read the record yet
 	}
 	launcher := r.currentLauncher(pending)
 	mustKnow := launcher.Node // the node that must know the cancellation; empty: none
@@ -239,7 +254,7 @@
 	}
 	holder := pending.holdAcknowledgedBy
 	switch {
-	case !r.ownership.EarlierOwnersStopped(pending.class, mustKnow):
+	case !r.ownership.EarlierOwnersStopped(class, mustKnow):
 		return notConfirmable
 	case launcher.Node == "":
 		return noLauncher
@@ -263,7 +278,7 @@
 	if pending.launcher != nil && r.store.Mirror.Revision < pending.revision {
 		return *pending.launcher
 	}
-	return r.ownership.Launcher(pending.class)
+	return r.ownership.Launcher(r.classOf(pending))
 }
 
 // updateConfirmations confirms the cancellations that have become confirmable, and answers the requests
--- a/internal/jobs/confirmations_test.go
+++ b/internal/jobs/confirmations_test.go
@@ -59,11 +59,16 @@
 	h.store.HandleReply(h.now, call.ID, status, h.encode(body))
 }
 
+// replyWatch answers the open watch: the mirror reaches the revision of the cancellation.
+func (h *harness) replyWatch(events ...map[string]any) {
+	h.store.HandleReply(h.now, h.watch.ID, 200, h.encode(map[string]any{"ledger": cancelRevision, "news": events}))
+}
+
 // TestCancellationIsConfirmedOnceOwnerIsInformed checks when a user is told of a recorded cancellation: only
 // once the owner certainly launches no task of the job any more. With a hold that the owner agreed to
 // before the cancellation was recorded, this is at once.
 func TestCancellationIsConfirmedOnceOwnerIsInformed(t *testing.T) {
-	mirrorCancellation := func(h *harness, _ *remoteOwnership) { h.store.Mirror.Revision = cancelRevision }
+	mirrorCancellation := func(h *harness, _ *remoteOwnership) { h.replyWatch() }
 	for _, test := range []struct {
 		name           string
 		writeTakes     time.Duration
@@ -98,9 +103,8 @@
 			o.launcher = ownership.Launcher{Node: "next", Incarnation: 8, Term: cancelRevision + 1}
 			mirrorCancellation(h, o)
 		}, confirmed: true},
-		{name: "the mirror shows that the job's record is removed", after: func(h *harness, o *remoteOwnership) {
-			h.registry.dropOpenJob("job-1")
-			mirrorCancellation(h, o)
+		{name: "the mirror shows that the job's record is removed", after: func(h *harness, _ *remoteOwnership) {
+			h.replyWatch(map[string]any{"remove": keyJob + "job-1", "stamp": cancelRevision})
 		}, confirmed: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -175,7 +179,7 @@
 		t.Fatalf("answered while the owner is not known: %+v", *answers)
 	}
 	owner.launcher = ownership.Launcher{Node: "next", Incarnation: 8, Term: cancelRevision - 1}
-	h.store.Mirror.Revision = cancelRevision
+	h.replyWatch()
 	h.tick()
 	if len(*answers) != 0 {
 		t.Fatalf("answered although the next owner is not informed: %+v", *answers)
@@ -219,3 +223,32 @@
 		})
 	}
 }
+
+// TestOwnerOfLateJobRecordMustBeInformed checks that a node that reads of a cancellation before the job's record
+// reaches its mirror tells no user of it before the owner is informed.
+func TestOwnerOfLateJobRecordMustBeInformed(t *testing.T) {
+	h := newHarness(t)
+	h.tick()
+	h.registry.ownership = &remoteOwnership{launcher: ownership.Launcher{Node: "owner", Incarnation: 7, Term: claimRevision}}
+	var query []Answer
+	h.registry.Query(h.now, "job-1", func(a Answer) { query = append(query, a) })
+	h.tick()
+	h.reply(0, h.takeTxn(), statestore.Conflict, wire.TxnReply{Failed: []string{keyFinal + "job-1", keyJob + "job-1"}})
+	h.tick()
+	h.store.HandleReply(h.now, h.gets[0].ID, 200, h.encode(map[string]any{"path": "x", "v": finalState{Status: wire.StatusCancelled}, "stamp": cancelRevision}))
+	h.replyWatch(map[string]any{"put": keyJob + "job-1", "v": &wire.Job{ID: "job-1", Tasks: 1, Types: []string{"c"}}, "stamp": jobRevision})
+	h.tick()
+	h.tick()
+	if len(query) != 0 {
+		t.Fatalf("answered before the owner is informed: %+v", query)
+	}
+	if notices := h.registry.UnacknowledgedCancellations(); len(notices) != 1 || notices[0] != (LaunchNotice{"owner", "job-1"}) {
+		t.Errorf("the owner is not to be informed: %v", notices)
+	}
+	h.registry.RecordCancellationAcknowledged("owner", []string{"job-1"})
+	h.tick()
+	if len(query) != 1 {
+		t.Fatalf("%d answers, want 1", len(query))
+	}
+	requireStatus(t, query[0], wire.StatusCancelled)
+}
--- a/internal/jobs/registry_test.go
+++ b/internal/jobs/registry_test.go
@@ -53,6 +53,7 @@
 	now      time.Duration
 	txns     []statestore.Call
 	gets     []statestore.Call
+	watch    statestore.Call // the open watch
 }
 
 // fixedOwnership is the ownership of a node that owns every class.
@@ -98,6 +99,8 @@
 		switch {
 		case strings.HasPrefix(call.Path, "/kv?"):
 			h.store.HandleReply(h.now, call.ID, 200, h.encode(map[string]any{"rows": []any{}, "ledger": 9}))
+		case call.IsWatch():
+			h.watch = call
 		case call.Path == "/multi":
 			h.txns = append(h.txns, call)
 		case strings.HasPrefix(call.Path, "/kv/"):
