One place for the extensions that a node granted, and one for requests that have waited too long

The latest end of all granted extensions stood beside the map that it follows from; claims now ask EarlierOwnersStopped, as confirmations do, which is the same condition. Lookups and cancellations that wait for an owner expired in two copies of one loop. Nothing that the program does changes.

--- a/internal/jobs/answers.go
+++ b/internal/jobs/answers.go
@@ -51,6 +51,22 @@
 	}
 }
 
+// expireWaiters asks the users whose deadline has passed, or all of them if all is set, to retry later. It
+// returns the waiters that are not answered yet, in the same slice.
+func (r *Registry) expireWaiters(waiters []*waiter, all bool) []*waiter {
+	remaining := waiters[:0]
+	for _, request := range waiters {
+		if all || r.now >= request.deadline {
+			request.answer(RetryLater())
+		}
+		if !request.answered {
+			remaining = append(remaining, request)
+		}
+	}
+	clear(waiters[len(remaining):])
+	return remaining
+}
+
 // stateRead is an answered call to the state service that returned the state of jobs.
 type stateRead struct{ call uint64 }
 
--- a/internal/jobs/confirmations.go
+++ b/internal/jobs/confirmations.go
@@ -288,17 +288,7 @@
 		pending := r.pendingCancellations[id]
 		r.confirmIfPossible(pending)
 		hopeless := r.store.Unreachable() && r.now-pending.recordedBefore > limits.PeerTimeout
-		remaining := pending.waiters[:0]
-		for _, request := range pending.waiters {
-			if r.now >= request.deadline || hopeless {
-				request.answer(RetryLater())
-			}
-			if !request.answered {
-				remaining = append(remaining, request)
-			}
-		}
-		clear(pending.waiters[len(remaining):])
-		pending.waiters = remaining
+		pending.waiters = r.expireWaiters(pending.waiters, hopeless)
 	}
 }
 
--- a/internal/jobs/lookups.go
+++ b/internal/jobs/lookups.go
@@ -52,24 +52,14 @@
 		return
 	}
 	r.queuedLookups = append(r.queuedLookups, request)
-	r.unansweredLookups = append(r.unansweredLookups, request)
+	r.unansweredLookups = append(r.unansweredLookups, request.waiter)
 }
 
 // expireLookups answers the lookups whose deadline has passed, whether queued or in flight.
 // Otherwise users would wait until their own timeout whenever a request to the state service got
 // no answer.
 func (r *Registry) expireLookups() {
-	remaining := r.unansweredLookups[:0]
-	for _, request := range r.unansweredLookups {
-		if !request.answered && r.now >= request.deadline {
-			request.answer(RetryLater())
-		}
-		if !request.answered {
-			remaining = append(remaining, request)
-		}
-	}
-	clear(r.unansweredLookups[len(remaining):])
-	r.unansweredLookups = remaining
+	r.unansweredLookups = r.expireWaiters(r.unansweredLookups, false)
 }
 
 // sendLookups checks the versions of many jobs' keys in one transaction that writes nothing. If
--- a/internal/jobs/registry.go
+++ b/internal/jobs/registry.go
@@ -77,7 +77,7 @@
 	unannounced map[string]unannouncedCancellation
 
 	queuedLookups     []*lookup
-	unansweredLookups []*lookup // not answered yet, whether queued or in flight
+	unansweredLookups []*waiter // not answered yet, whether queued or in flight
 	lookupInFlight    bool
 	queuedSubmissions []*submission
 	waitingRequests   int
--- a/internal/ownership/extension.go
+++ b/internal/ownership/extension.go
@@ -34,7 +34,7 @@
 			return false
 		}
 	}
-	n.recordGrant(peer)
+	n.grants[peer] = n.now + limits.GrantTTL
 	return true
 }
 
--- a/internal/ownership/launcher.go
+++ b/internal/ownership/launcher.go
@@ -1,9 +1,6 @@
 package ownership
 
-import (
-	"umberpaddle/internal/limits"
-	"umberpaddle/internal/wire"
-)
+import "umberpaddle/internal/wire"
 
 // Launcher is the only process that may launch tasks of a class, apart from an earlier owner that
 // continues under an extension: the process whose claim to the class is recorded.
@@ -61,10 +58,3 @@
 	}
 	return false
 }
-
-// recordGrant records an extension that this node has just granted to a peer.
-func (n *Node) recordGrant(peer string) {
-	until := n.now + limits.GrantTTL
-	n.grants[peer] = max(n.grants[peer], until)
-	n.grantedUntil = max(n.grantedUntil, until)
-}
--- a/internal/ownership/mapping.go
+++ b/internal/ownership/mapping.go
@@ -109,7 +109,7 @@
 	var txn wire.Txn
 	for _, class := range names {
 		mappedRecord := n.mapping[class]
-		if _, owned := n.owners[class]; owned || mappedRecord.Node != n.Name || !n.earlierGrantsEnded(class) || n.now < n.grantedUntil {
+		if _, owned := n.owners[class]; owned || mappedRecord.Node != n.Name || !n.EarlierOwnersStopped(class, "") {
 			continue
 		}
 		if len(txn.Then)+2 > n.store.MaxTxnOps {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -99,8 +99,7 @@
 	nextRemap          time.Duration
 	electionJitter     time.Duration
 
-	grantedUntil         time.Duration            // this node claims nothing before this time
-	grants               map[string]time.Duration // peer -> end of the extension that this node granted to it
+	grants               map[string]time.Duration // peer -> end of the extension that this node granted to it; until then this node claims nothing
 	extensions           map[string]time.Duration // peer -> end of the extension that it granted
 	noTakeoverUntil      map[string]time.Duration // peer -> time until which the peer, by its extensions, cannot have taken over
 	nextExtensionRequest time.Duration
@@ -389,7 +388,7 @@
 		}
 		// A peer to which this node, or an earlier incarnation of it, granted an extension may
 		// still be answering the workers.
-		if n.now < n.grantedUntil || !n.earlierGrantsEnded(class) {
+		if !n.EarlierOwnersStopped(class, "") {
 			continue
 		}
 		n.claims[class] = &Claim{Class: class, Term: rec.version, Since: n.now}
