--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -96,10 +96,8 @@
 	loggedFullReads  int               // full reads of the records that were logged
 	linkMonitor      *linkMonitor      // nil if link monitoring is switched off
 	sentCounts       map[string][2]int // job -> tasks done and running, as last sent to peers
-	// pendingCancelNotices maps each owner to the cancelled jobs whose notice it has not
-	// acknowledged.
-	pendingCancelNotices map[string]map[string]bool
-	nextCancelNotice     time.Duration
+	// cancelNotices holds what the peers must be told about cancellations, by peer.
+	cancelNotices map[string]*cancelNotices
 	// gangOnlyMachines are reserved for gangs. gangDemand is the recent peak of the CPUs requested
 	// by gangs that should start soon, as of gangDemandAt; it decays with GangDemandHalfLife.
 	gangOnlyMachines  map[string]bool
@@ -134,7 +132,7 @@
 		machineRecords:       map[string]machineRecord{},
 		foreignArrivals:      map[string]time.Duration{},
 		sentCounts:           map[string][2]int{},
-		pendingCancelNotices: map[string]map[string]bool{},
+		cancelNotices:        map[string]*cancelNotices{},
 		gangOnlyMachines:     map[string]bool{},
 		keptIdleClasses:      map[string]bool{},
 		savedTypes:           map[string]bool{},
@@ -159,7 +157,7 @@
 	}
 	maxStaleness := ownership.MaxStaleness(limits.Seconds(cluster.Workers.CancelS), limits.Seconds(cluster.Workers.LeaseS))
 	c.ownership = ownership.New(settings.Label, peers, incarnation, now.Steady, maxStaleness, c.store, c.log)
-	c.jobs = jobs.New(c.store, c.ownership.OwnerGuard, c.ownership.RecordFormat, c.log)
+	c.jobs = jobs.New(c.store, c.ownership, c.log)
 	c.machineTable = statestore.NewRecordTable(c.store, keyMachines, c.ownership.OwnerGuard, c.applyMachineRecord)
 	c.pool = workers.New(cluster.Workers.LeaseS, cluster.Workers.HeartbeatS)
 	c.fleet = fleet.New(cluster.Cloud.RPS, cluster.Cloud.ListLagS, rentalPrefix(settings.Label, incarnation), c.log)
@@ -187,6 +185,7 @@
 	c.jobs.SetCancellationsKnownThrough(c.ownership.CancellationsKnownThrough())
 	c.ownership.Advance(steady)
 	c.store.Advance(steady)
+	c.jobs.Advance(steady)
 	c.linkMonitor.recordInput(input, steady)
 	switch event := input.(type) {
 	case Submit:
@@ -269,6 +268,7 @@
 	c.updateHeldHeartbeats()
 	c.retireUnusableMachines()
 	c.updateActiveJobs()
+	c.updateLaunchHolds()
 	c.updateGangs()
 	mayLaunch := c.ownership.MayLaunch()
 	if mayLaunch && len(c.activeTerms) > 0 {
--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -80,8 +80,8 @@
 	var commands []wire.Command
 	for _, taskID := range load.plannedTaskIDs() {
 		ref := load.tasks[taskID]
-		if len(commands) >= limits.MaxCommands || ref.job.Cancelled {
-			continue // launched or unassigned with the answer to the next heartbeat
+		if len(commands) >= limits.MaxCommands || ref.job.MustNotLaunch() {
+			continue // launched or unassigned with the answer to a later heartbeat
 		}
 		assignment := ref.job.Assigned[ref.task]
 		assignment.State, assignment.Delivery, assignment.WorkerIncarnation = jobs.Sent, jobs.DirectPending, machine.Incarnation
@@ -269,7 +269,7 @@
 	for _, taskID := range load.taskIDs() {
 		ref := load.tasks[taskID]
 		assignment := ref.job.Assigned[ref.task]
-		if assignment.Delivery != jobs.DirectUnknown || ref.job.Cancelled || len(commands) >= limits.MaxCommands {
+		if assignment.Delivery != jobs.DirectUnknown || ref.job.MustNotLaunch() || len(commands) >= limits.MaxCommands {
 			continue
 		}
 		commands = append(commands, wire.Command{Verb: wire.VerbLaunch, Task: taskID, Attempt: assignment.Attempt})
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -243,6 +243,9 @@
 			c.unassign(ref.job, ref.task)
 			continue
 		}
+		if ref.job.LaunchesHeld {
+			continue
+		}
 		assignment := ref.job.Assigned[ref.task]
 		assignment.State = jobs.Sent
 		c.assign(ref.job, ref.task, assignment)
--- a/internal/controller/http_api.go
+++ b/internal/controller/http_api.go
@@ -20,7 +20,7 @@
 	mux.HandleFunc("POST /work", func(w http.ResponseWriter, r *http.Request) {
 		body, ok := readBody(w, r)
 		if ok {
-			s.handleUserRequest(w, func(ref uint64) Input { return Submit{ref, body} })
+			s.handleUserRequest(w, limits.EventLoopTimeout, func(ref uint64) Input { return Submit{ref, body} })
 		}
 	})
 	mux.HandleFunc("GET /work/{id}", func(w http.ResponseWriter, r *http.Request) {
@@ -31,7 +31,7 @@
 	})
 	mux.HandleFunc("POST /work/{id}/cancel", func(w http.ResponseWriter, r *http.Request) {
 		id := r.PathValue("id")
-		s.handleUserRequest(w, func(ref uint64) Input { return Cancel{ref, id} })
+		s.handleUserRequest(w, limits.CancelAnswerTimeout, func(ref uint64) Input { return Cancel{ref, id} })
 	})
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		answer, ok := s.callCore(func(ref uint64) Input { return Ready{ref} }, limits.EventLoopTimeout)
@@ -72,9 +72,9 @@
 }
 
 // handleUserRequest passes a user's request to the core and writes the core's answer.
-func (s *Server) handleUserRequest(w http.ResponseWriter, newInput func(uint64) Input) {
+func (s *Server) handleUserRequest(w http.ResponseWriter, timeout time.Duration, newInput func(uint64) Input) {
 	s.limitKeepAlive(w)
-	answer, ok := s.callCore(newInput, limits.EventLoopTimeout)
+	answer, ok := s.callCore(newInput, timeout)
 	s.answerUser(w, answer, ok)
 }
 
--- a/internal/controller/peer_messages.go
+++ b/internal/controller/peer_messages.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -12,8 +11,8 @@
 // PeerMessage is a message from one controller to another. Probe asks whether the peer reaches the
 // state service. Visited asks whether the peer receives heartbeats for classes that it doesn't own.
 // Promise requests an extension: the peer agrees not to take over the classes in Terms. Any other
-// message carries job counts for display, cancellations that were confirmed to users, faulty jobs,
-// or a view of the links.
+// message carries job counts for display, cancellations that were recorded, jobs whose cancellation is being
+// recorded, faulty jobs, or a view of the links.
 type PeerMessage struct {
 	From      string
 	Probe     bool
@@ -22,6 +21,9 @@
 	Terms     map[string]uint64
 	Counts    map[string][2]int
 	Cancelled []string
+	// HoldLaunches are jobs whose cancellation the sender is recording. The peer launches no task of
+	// them until it knows whether they were cancelled. Versions without the field ignore it.
+	HoldLaunches []string
 	// Faulty are jobs whose tasks failed on every machine that was tried. Versions without the
 	// field ignore it.
 	Faulty []string
@@ -41,6 +43,9 @@
 	// Faulty are jobs that earlier owners reported to the peer as faulty and that the message did
 	// not list. Versions without the field ignore it.
 	Faulty []string
+	// Holder is the incarnation of the peer's process if it launches no task of the jobs in
+	// HoldLaunches. Versions without the field don't set it.
+	Holder uint64
 	// Uptime is how long the peer's process has run, if an extension was requested. An earlier
 	// incarnation of the peer may have taken over from the node that requests the extension, and the
 	// present incarnation may have no record of the takeover. Versions without the field ignore it.
@@ -119,13 +124,15 @@
 		return
 	}
 	if request.Msg.Promise {
-		answer := PeerAnswer{Yes: c.ownership.GrantExtension(c.now.Steady, request.Msg.Terms), Vouch: c.store.Mirror.Loaded, Behind: c.now.Steady - c.store.Mirror.KnownThrough, Uptime: c.ownership.Uptime()}
+		answer := PeerAnswer{Yes: c.ownership.GrantExtension(c.now.Steady, request.Msg.From, request.Msg.Terms), Vouch: c.store.Mirror.Loaded, Behind: c.now.Steady - c.store.Mirror.KnownThrough, Uptime: c.ownership.Uptime()}
 		if answer.Vouch {
 			answer.Cancelled = c.jobs.Cancellations()
 		}
 		c.outputs = append(c.outputs, Answer{Ref: request.Ref, Status: 200, Body: answer})
 		return
 	}
+	c.jobs.HoldLaunches(request.Msg.HoldLaunches)
+	c.jobs.RecordAnnounced(request.Msg.Cancelled)
 	c.mergeCancellations(request.Msg.Cancelled)
 	for id, count := range request.Msg.Counts {
 		c.jobs.SetDisplayCounts(id, count[0], count[1])
@@ -133,7 +140,11 @@
 	// Without this exchange, every new owner would launch as many tasks of a faulty job as of any other
 	// job.
 	c.jobs.MarkFaulty(request.Msg.Faulty)
-	c.outputs = append(c.outputs, Answer{Ref: request.Ref, Status: 200, Body: PeerAnswer{Yes: true, Faulty: c.jobs.JobsMarkedFaulty(request.Msg.Faulty)}})
+	answer := PeerAnswer{Yes: true, Faulty: c.jobs.JobsMarkedFaulty(request.Msg.Faulty)}
+	if len(request.Msg.HoldLaunches) > 0 {
+		answer.Holder = c.ownership.Incarnation
+	}
+	c.outputs = append(c.outputs, Answer{Ref: request.Ref, Status: 200, Body: answer})
 }
 
 // handlePeerReply processes the result of a message to a peer.
@@ -152,11 +163,10 @@
 		c.mergeCancellations(answer.Cancelled)
 		c.ownership.RecordPeerCancellations(peer, reply.Call.SentAt, answer.Vouch, answer.Behind)
 		c.ownership.RecordExtension(peer, reply.Call.SentAt, answer.Yes, answer.Uptime)
+	case len(message.HoldLaunches)+len(message.Cancelled) > 0:
+		c.handleCancelNoticeReply(reply)
 	case answer.Yes:
 		c.jobs.MarkFaulty(answer.Faulty)
-		for _, id := range message.Cancelled {
-			delete(c.pendingCancelNotices[peer], id)
-		}
 	}
 }
 
@@ -166,40 +176,3 @@
 		c.schedulingDue, c.jobsChanged = true, true
 	}
 }
-
-// sendCancelNotices sends new cancellations directly to the owners of classes, and repeats them until
-// they are acknowledged. Without these notices, an owner whose requests the state service refuses would
-// not see the cancellations and would go on starting tasks of those jobs.
-func (c *Core) sendCancelNotices() {
-	now := c.now.Steady
-	if ids := c.jobs.TakeNewCancellations(); len(ids) > 0 {
-		for owner := range c.ownership.Owners() {
-			if owner == c.settings.Label {
-				continue
-			}
-			if c.pendingCancelNotices[owner] == nil {
-				c.pendingCancelNotices[owner] = map[string]bool{}
-			}
-			for _, id := range ids {
-				c.pendingCancelNotices[owner][id] = true
-			}
-		}
-		c.nextCancelNotice = now
-	}
-	if now < c.nextCancelNotice {
-		return
-	}
-	c.nextCancelNotice = now + limits.ExtensionInterval
-	owners := c.ownership.Owners()
-	for _, peer := range c.settings.Others {
-		ids := c.pendingCancelNotices[peer.Label]
-		if len(ids) == 0 {
-			continue
-		}
-		if !owners[peer.Label] { // the next owner has read the cancellations from the state service
-			delete(c.pendingCancelNotices, peer.Label)
-			continue
-		}
-		c.outputs = append(c.outputs, PeerCall{Peer: peer.Label, SentAt: now, Msg: PeerMessage{From: c.settings.Label, Cancelled: slices.Sorted(maps.Keys(ids))}})
-	}
-}
--- a/internal/controller/scheduling.go
+++ b/internal/controller/scheduling.go
@@ -131,7 +131,7 @@
 // mayStart reports whether a job has waiting tasks that may start now. For fleet planning
 // (forFleetPlan), tasks whose start is delayed count as well.
 func (c *Core) mayStart(job *jobs.Job, forFleetPlan bool) bool {
-	if job.WaitingCount() <= 0 || job.Cancelled || job.Frozen || c.jobs.OpenJobs[job.ID] != job {
+	if job.WaitingCount() <= 0 || job.MustNotLaunch() || job.Frozen || c.jobs.OpenJobs[job.ID] != job {
 		return false
 	}
 	return forFleetPlan || job.Prepared && c.now.Steady >= job.NotBefore
@@ -279,7 +279,7 @@
 	for _, placement := range allocation.Run(round.teams, machines, round.capacity, round.largest) {
 		job := c.jobs.OpenJobs[placement.Unit.Job]
 		// The job may have changed since the round was built.
-		if job == nil || job.Cancelled || job.Frozen || !job.Active || !job.Prepared {
+		if job == nil || job.MustNotLaunch() || job.Frozen || !job.Active || !job.Prepared {
 			continue
 		}
 		if !job.Gang {
--- a/internal/jobs/answers.go
+++ b/internal/jobs/answers.go
@@ -30,8 +30,11 @@
 	// the user's request arrived.
 	arrivedAfter uint64
 	deadline     time.Duration
-	reply        func(Answer)
-	answered     bool
+	// confirmationDeadline, if it is later, replaces deadline once the cancellation that the user
+	// requested is recorded.
+	confirmationDeadline time.Duration
+	reply                func(Answer)
+	answered             bool
 }
 
 func (r *Registry) newWaiter(jobID string, wait time.Duration, reply func(Answer)) *waiter {
@@ -40,7 +43,7 @@
 
 // answer sends an answer unless one was sent before. Callers other than answerFromRead pass only
 // answers that can't be stale: those that don't depend on the job's state, and the job's final
-// state, which never changes.
+// state, which never changes. A cancellation is passed only once it may be reported to users.
 func (w *waiter) answer(a Answer) {
 	if !w.answered {
 		w.answered = true
@@ -62,7 +65,7 @@
 // withheld answer is a bug in this program.
 func (r *Registry) answerFromRead(read stateRead, request *waiter, answer Answer) {
 	if final, ok := r.finalStates[request.jobID]; ok {
-		request.answer(finalAnswer(request.jobID, final))
+		r.answerCached(request, final)
 		return
 	}
 	if !read.isFreshFor(request) {
@@ -75,6 +78,18 @@
 	request.answer(answer)
 }
 
+// answerCached answers with a job's final state, which this node knows. If it is a cancellation, the answer
+// waits until it may be confirmed.
+func (r *Registry) answerCached(request *waiter, final cachedFinal) {
+	if final.mayBeReported() {
+		request.answer(finalAnswer(request.jobID, final.finalState))
+	} else if recorded := r.recordedCancellation(request.jobID); recorded != nil {
+		r.awaitConfirmation(recorded, request)
+	} else {
+		r.answerWithFinal(request)
+	}
+}
+
 func finalAnswer(job string, final finalState) Answer {
 	return statusAnswer(wire.JobStatus{ID: job, Status: final.Status, Done: final.Done})
 }
--- a/internal/jobs/cancellations.go
+++ b/internal/jobs/cancellations.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"umberpaddle/internal/limits"
+	"umberpaddle/internal/ownership"
 	"umberpaddle/internal/statestore"
 	"umberpaddle/internal/wire"
 )
@@ -16,25 +17,47 @@
 // Cancel cancels a job unless it has ended.
 func (r *Registry) Cancel(now time.Duration, id string, answer func(Answer)) {
 	r.now = max(r.now, now)
-	r.startLookup(&lookup{waiter: r.newWaiter(id, limits.SubmitTimeout, answer), cancel: true})
+	request := r.newWaiter(id, limits.SubmitTimeout, answer)
+	request.confirmationDeadline = r.now + limits.CancelTimeout
+	r.startLookup(&lookup{waiter: request, cancel: true})
 }
 
 // readVersionAndCancel reads the version of a job that is not in the mirror yet, and cancels it.
 func (r *Registry) readVersionAndCancel(request *lookup) {
 	r.store.Get(statestore.PriorityUser, limits.QueryTimeout, keyJob+request.jobID, func(reply statestore.Reply) {
 		var row wire.KeyValue
-		if reply.Status != statestore.OK || wire.Decode(reply.Body, &row) != nil {
+		var spec wire.Job
+		if reply.Status != statestore.OK || wire.Decode(reply.Body, &row) != nil || wire.Decode(row.Value, &spec) != nil {
 			request.answer(RetryLater())
 			return
 		}
-		r.writeCancellation(request, row.Version)
+		r.startCancellation(request, row.Version, guardClass(&spec))
 	})
 }
 
+// startCancellation asks the launcher of a job, whose record has the given version, to hold the job's
+// launches, and records the cancellation at the same time.
+func (r *Registry) startCancellation(request *lookup, version uint64, class string) {
+	pending := r.pendingCancellation(request.jobID)
+	pending.class = class
+	launcher := r.ownership.Launcher(class)
+	r.requestHold(pending, launcher)
+	guard := r.ownership.LauncherGuard(class)
+	r.writeCancellation(request, pending, version, &verifiedLauncher{launcher, guard})
+}
+
+// verifiedLauncher is a launcher, with the condition of a transaction that it is the launcher still.
+type verifiedLauncher struct {
+	launcher ownership.Launcher
+	guard    wire.Guard
+}
+
 // writeCancellation records the cancellation of a job whose record has the given version, and
-// answers the request. If the job has ended or its record has changed, it answers with the final
-// state, or asks the user to retry if there is none.
-func (r *Registry) writeCancellation(request *lookup, version uint64) {
+// answers the request once the cancellation may be confirmed. If the job has ended or its record has
+// changed, it answers with the final state, or asks the user to retry if there is none. If verified is
+// set, the transaction also verifies the launcher, which saves the wait for the mirror; if the launcher
+// has changed, the cancellation is recorded without that condition.
+func (r *Registry) writeCancellation(request *lookup, pending *pendingCancellation, version uint64, verified *verifiedLauncher) {
 	doneCount := 0
 	if job := r.OpenJobs[request.jobID]; job != nil {
 		doneCount = max(job.DoneCount, job.displayDone)
@@ -43,20 +66,37 @@
 	txn := wire.Txn{
 		Guards: []wire.Guard{{Key: keyJob + request.jobID, Version: version}, {Key: keyFinal + request.jobID}},
 		Then:   []wire.Op{{Key: keyFinal + request.jobID, Value: final}, {Key: keyCancelled + request.jobID, Value: true}}}
+	if verified != nil {
+		txn.Guards = append(txn.Guards, verified.guard)
+	}
+	pending.writesInFlight++
 	r.store.Txn(statestore.PriorityUser, limits.SubmitTimeout, txn, func(reply statestore.Reply) {
-		switch reply.Status {
-		case statestore.OK:
-			r.cacheFinal(request.jobID, final)
-			r.log(slog.LevelInfo, "cancellation confirmed to its user", "job", request.jobID, "call", reply.CallID)
-			request.answer(finalAnswer(request.jobID, final))
-		case statestore.Conflict:
-			r.answerWithFinal(request)
+		defer r.finishCancellationWrite(pending)
+		var txnReply wire.TxnReply
+		decoded := wire.Decode(reply.Body, &txnReply) == nil
+		switch {
+		case reply.Status == statestore.OK && decoded:
+			r.handleCancellationRecorded(request, final, txnReply.Revision, verified)
+		case reply.Status == statestore.Conflict && decoded && verified != nil && slices.Equal(txnReply.Failed, []string{verified.guard.Key}):
+			r.writeCancellation(request, pending, version, nil)
+		case reply.Status == statestore.Conflict:
+			r.answerWithFinal(request.waiter)
 		default:
 			request.answer(RetryLater())
 		}
 	})
 }
 
+// handleCancellationRecorded continues with a cancellation that this node has just recorded.
+func (r *Registry) handleCancellationRecorded(request *lookup, final finalState, revision uint64, verified *verifiedLauncher) {
+	delete(r.unannounced, request.jobID)
+	pending := r.recordCancellation(request.jobID, final, revision)
+	if verified != nil && pending.revision == revision {
+		pending.launcher, pending.launcherVerified = verified.launcher, true
+	}
+	r.awaitConfirmation(pending, request.waiter)
+}
+
 // ConfirmedAtAnyTime stands for a cancellation that may have been confirmed to users at any time
 // in the past.
 const ConfirmedAtAnyTime = time.Duration(math.MinInt64 / 4)
--- a/internal/jobs/done_sets.go
+++ b/internal/jobs/done_sets.go
@@ -111,7 +111,7 @@
 func (r *Registry) writeChunk(job *Job, chunkIndex int, priority statestore.Priority) {
 	job.chunkWriteInFlight = true
 	prefix, chunkTasks, keyIndex := keyChunk, limits.ChunkTasks, chunkIndex
-	if r.recordFormat() < 2 {
+	if r.ownership.RecordFormat() < 2 {
 		prefix, chunkTasks = keyLargeChunk, limits.Format1ChunkTasks
 		keyIndex = chunkIndex * limits.ChunkTasks / chunkTasks
 	}
@@ -125,7 +125,7 @@
 		}
 	}
 	txn := wire.Txn{
-		Guards: []wire.Guard{r.ownerGuard(job.GuardClass), {Key: keyJob + job.ID, Version: job.version}, {Key: key, Version: job.chunkVersions[key]}},
+		Guards: []wire.Guard{r.ownership.OwnerGuard(job.GuardClass), {Key: keyJob + job.ID, Version: job.version}, {Key: key, Version: job.chunkVersions[key]}},
 		Then:   []wire.Op{{Key: key, Value: doneSetChunk{Done: encodedChunk}}}}
 	r.store.Txn(priority, limits.StoreTimeout*2, txn, func(reply statestore.Reply) {
 		job.chunkWriteInFlight = false
--- a/internal/jobs/final_states.go
+++ b/internal/jobs/final_states.go
@@ -17,6 +17,17 @@
 	Done   int           `msgpack:"d"`
 }
 
+// cachedFinal is a final state in memory. Users may be told of a cancellation only once it is confirmed.
+type cachedFinal struct {
+	finalState
+	confirmed bool
+}
+
+// mayBeReported reports whether users may be told of the final state.
+func (c cachedFinal) mayBeReported() bool {
+	return c.Status != wire.StatusCancelled || c.confirmed
+}
+
 // finalize writes the final state of a job and removes its record in one transaction; the record of
 // a small job may be removed later (see finalizeTxn). An empty status means that the final state is
 // already written. A completion and a cancellation can't both succeed, because each requires fin/ID
@@ -44,7 +55,7 @@
 // later, in a batch with others, so that a completion costs only one write while the write budget
 // is scarce. Its done set stays until then, too.
 func (r *Registry) finalizeTxn(job *Job, status wire.JobState) (txn wire.Txn, priority statestore.Priority, removeLater bool) {
-	txn.Guards = []wire.Guard{r.ownerGuard(job.GuardClass), {Key: keyJob + job.ID, Version: job.version}}
+	txn.Guards = []wire.Guard{r.ownership.OwnerGuard(job.GuardClass), {Key: keyJob + job.ID, Version: job.version}}
 	priority = statestore.PriorityProgress
 	if status != "" {
 		priority = statestore.PriorityFinish
@@ -86,7 +97,7 @@
 // job completed and none of its tasks is assigned any more, only its record remains to be removed.
 func (r *Registry) readFinalOfOwnedJob(job *Job) {
 	r.store.Get(statestore.PriorityFinish, limits.QueryTimeout, keyFinal+job.ID, func(reply statestore.Reply) {
-		final, ok := decodeFinal(reply)
+		final, _, ok := decodeFinal(reply)
 		if ok && final.Status == wire.StatusDone && r.OpenJobs[job.ID] == job && len(job.Assigned) == 0 {
 			r.cacheFinal(job.ID, final)
 			r.awaitRemoval(job)
@@ -94,11 +105,11 @@
 	})
 }
 
-// decodeFinal decodes the reply to a read of a final state.
-func decodeFinal(reply statestore.Reply) (final finalState, ok bool) {
+// decodeFinal decodes the reply to a read of a final state. revision is when the state was recorded.
+func decodeFinal(reply statestore.Reply) (final finalState, revision uint64, ok bool) {
 	var row wire.KeyValue
 	ok = reply.Status == statestore.OK && wire.Decode(reply.Body, &row) == nil && wire.Decode(row.Value, &final) == nil && final.Status != ""
-	return final, ok
+	return final, row.Version, ok
 }
 
 // awaitRemoval moves a job whose final state is written from the open to the finalized jobs, where
@@ -161,5 +172,5 @@
 			r.finalOrder = r.finalOrder[1:]
 		}
 	}
-	r.finalStates[id] = final
+	r.finalStates[id] = cachedFinal{final, r.finalStates[id].confirmed}
 }
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -54,20 +54,22 @@
 	// confirmed to a user. Up to that time this node knew of every cancellation confirmed to
 	// users, and the cancellation of this job was not among them.
 	CancelConfirmedAfter time.Duration
-	Done                 TaskSet
-	DoneCount            int
-	durableDone          TaskSet
-	chunkVersions        map[string]uint64 // versions of the written chunks of the done set, by key
-	dirtyChunks          map[int]bool      // chunks with completions that are not written yet
-	doneSetWritten       bool              // the job's done set under u/s/ is written
-	doneSetRequested     bool              // the write of the job's done set under u/s/ was requested
-	chunkWriteInFlight   bool
-	finalizing           bool
-	Assigned             map[int]Assignment
-	nextTaskHint         int    // no task with a lower number is waiting
-	GuardClass           string // a class of the job, for the owner's guard
-	TypeSet              map[string]bool
-	PlacementKey         string // equal for jobs whose tasks may run on the same machines
+	// LaunchesHeld is set while a peer may be recording the cancellation of the job: no task is launched.
+	LaunchesHeld       bool
+	Done               TaskSet
+	DoneCount          int
+	durableDone        TaskSet
+	chunkVersions      map[string]uint64 // versions of the written chunks of the done set, by key
+	dirtyChunks        map[int]bool      // chunks with completions that are not written yet
+	doneSetWritten     bool              // the job's done set under u/s/ is written
+	doneSetRequested   bool              // the write of the job's done set under u/s/ was requested
+	chunkWriteInFlight bool
+	finalizing         bool
+	Assigned           map[int]Assignment
+	nextTaskHint       int    // no task with a lower number is waiting
+	GuardClass         string // a class of the job, for the owner's guard
+	TypeSet            map[string]bool
+	PlacementKey       string // equal for jobs whose tasks may run on the same machines
 
 	Active   bool // this node owns the job's classes
 	Prepared bool // the job's done set, or chunk 0 of the set, is written: tasks may be launched
@@ -172,6 +174,10 @@
 	return job, number
 }
 
+// MustNotLaunch reports whether no task of the job may be launched: the job is cancelled, or may be any
+// moment.
+func (j *Job) MustNotLaunch() bool { return j.Cancelled || j.LaunchesHeld }
+
 // MayHaveLaunched reports whether any owner may have launched tasks of the job.
 func (j *Job) MayHaveLaunched() bool { return j.doneSetWritten || len(j.chunkVersions) > 0 }
 
--- a/internal/jobs/lookups.go
+++ b/internal/jobs/lookups.go
@@ -23,8 +23,13 @@
 
 // startLookup answers a request from the cache of final states, refuses it, or queues it.
 func (r *Registry) startLookup(request *lookup) {
-	if final, ok := r.finalStates[request.jobID]; ok {
-		request.answer(finalAnswer(request.jobID, final))
+	if final, ok := r.finalStates[request.jobID]; ok && final.mayBeReported() {
+		request.answer(finalAnswer(request.jobID, final.finalState))
+		return
+	}
+	recorded := r.recordedCancellation(request.jobID)
+	if recorded != nil && r.confirmIfPossible(recorded) {
+		request.answer(finalAnswer(request.jobID, recorded.final))
 		return
 	}
 	if r.store.Unreachable() {
@@ -41,6 +46,10 @@
 		r.waitingRequests--
 		reply(answer)
 	}
+	if recorded != nil {
+		r.awaitConfirmation(recorded, request.waiter)
+		return
+	}
 	r.queuedLookups = append(r.queuedLookups, request)
 	r.unansweredLookups = append(r.unansweredLookups, request)
 }
@@ -92,7 +101,7 @@
 		for _, request := range group {
 			switch {
 			case failedGuards[keyFinal+request.jobID]:
-				r.answerWithFinal(request)
+				r.answerWithFinal(request.waiter)
 			case guardedKeys[keyJob+request.jobID] && !failedGuards[keyJob+request.jobID]:
 				r.answerFromRead(read, request.waiter, Answer{Status: 404, Body: wire.ErrorBody{Error: "no such job"}})
 			case request.cancel:
@@ -114,8 +123,8 @@
 			continue
 		}
 		job := r.OpenJobs[request.jobID]
-		if request.cancel && job != nil {
-			r.writeCancellation(request, job.version)
+		if request.cancel && job != nil && !job.Cancelled {
+			r.startCancellation(request, job.version, job.GuardClass)
 			continue
 		}
 		txn.Guards = append(txn.Guards, wire.Guard{Key: keyFinal + request.jobID})
@@ -128,14 +137,13 @@
 }
 
 // answerWithFinal reads the final state of a job and answers with it.
-func (r *Registry) answerWithFinal(request *lookup) {
+func (r *Registry) answerWithFinal(request *waiter) {
 	r.store.Get(statestore.PriorityUser, limits.QueryTimeout, keyFinal+request.jobID, func(reply statestore.Reply) {
-		final, ok := decodeFinal(reply)
+		final, revision, ok := decodeFinal(reply)
 		if !ok {
 			request.answer(RetryLater())
 			return
 		}
-		r.cacheFinal(request.jobID, final)
-		request.answer(finalAnswer(request.jobID, final))
+		r.answerFinal(request, final, revision)
 	})
 }
--- a/internal/jobs/registry.go
+++ b/internal/jobs/registry.go
@@ -54,10 +54,10 @@
 	WithheldAnswers int
 
 	// finalStates caches the final states of jobs; finalOrder lists these jobs, oldest entry first.
-	finalStates map[string]finalState
+	finalStates map[string]cachedFinal
 	finalOrder  []string
-	// confirmedCancellations holds the cancelled jobs whose cancellation this node confirms to
-	// users, with the time of the first confirmation. newCancellations lists those that have not
+	// confirmedCancellations holds the cancelled jobs whose cancellation this node knows to be recorded,
+	// with the time at which it learned of the record. newCancellations lists those that have not
 	// been sent to the owners yet.
 	confirmedCancellations map[string]time.Duration
 	newCancellations       []string
@@ -65,6 +65,16 @@
 	// confirmed to users, before it received the input that is being processed.
 	cancellationsKnownThrough time.Duration
 
+	// pendingCancellations holds the cancellations that this node records, or may not confirm to users
+	// yet, by job. holdRequests lists the holds of launches that have not been requested yet.
+	pendingCancellations map[string]*pendingCancellation
+	holdRequests         []LaunchNotice
+	// launchHolds holds the jobs whose launches are held, with the end of the time within which a
+	// cancellation that the hold covers is recorded.
+	launchHolds map[string]time.Duration
+	// unannounced holds the cancellations that this node has read, but no peer has announced, by job.
+	unannounced map[string]unannouncedCancellation
+
 	queuedLookups     []*lookup
 	unansweredLookups []*lookup // not answered yet, whether queued or in flight
 	lookupInFlight    bool
@@ -82,17 +92,15 @@
 	removingFinalized bool
 	orphanDoneSets    map[string]bool // IDs of done sets under u/s/ without a job
 
-	// ownerGuard returns the condition under which this node may write as owner of a class.
-	ownerGuard func(class string) wire.Guard
-	// recordFormat returns the newest record format that every node can read.
-	recordFormat func() int
+	ownership Ownership
 }
 
 // New returns an empty registry.
-func New(store *statestore.Store, guard func(class string) wire.Guard, format func() int, log func(slog.Level, string, ...any)) *Registry {
-	r := &Registry{store: store, ownerGuard: guard, recordFormat: format, log: log, OpenJobs: map[string]*Job{}, cancelledJobs: map[string]*Job{}, finalStates: map[string]finalState{}, confirmedCancellations: map[string]time.Duration{}, submissionsByID: map[string]*submission{},
+func New(store *statestore.Store, ownership Ownership, log func(slog.Level, string, ...any)) *Registry {
+	r := &Registry{store: store, ownership: ownership, log: log, OpenJobs: map[string]*Job{}, cancelledJobs: map[string]*Job{}, finalStates: map[string]cachedFinal{},
+		pendingCancellations: map[string]*pendingCancellation{}, launchHolds: map[string]time.Duration{}, unannounced: map[string]unannouncedCancellation{}, confirmedCancellations: map[string]time.Duration{}, submissionsByID: map[string]*submission{},
 		cancellationsKnownThrough: ConfirmedAtAnyTime, nextWriteAt: map[string]time.Duration{}, orphanChunks: map[string]bool{}, orphanDoneSets: map[string]bool{}, finalizedJobs: map[string]*Job{}}
-	r.doneSets = statestore.NewRecordTable(store, keyDoneSets, guard, r.applyDoneSet)
+	r.doneSets = statestore.NewRecordTable(store, keyDoneSets, ownership.OwnerGuard, r.applyDoneSet)
 	return r
 }
 
@@ -103,8 +111,8 @@
 	case strings.HasPrefix(change.Key, keyJob):
 		r.applyJob(change.Key[len(keyJob):], change)
 	case strings.HasPrefix(change.Key, keyCancelled):
-		if !change.Removed {
-			r.markCancelled(change.Key[len(keyCancelled):])
+		if id := change.Key[len(keyCancelled):]; !change.Removed && r.markCancelled(id) {
+			r.noteUnannounced(id)
 		}
 	case strings.HasPrefix(change.Key, keyLargeChunk):
 		r.applyChunk(change, limits.Format1ChunkTasks)
@@ -128,6 +136,7 @@
 		return
 	}
 	job := newJob(spec, change.Entry.Version)
+	job.LaunchesHeld = r.isHeld(id)
 	r.OpenJobs[id] = job
 	if stored, ok := r.doneSets.StoredValue(id); ok {
 		r.applyDoneSet(id, "", stored, false)
@@ -156,15 +165,22 @@
 		TypeSet:       make(map[string]bool, len(spec.Types)),
 		PlacementKey:  strings.Join(spec.Types, " ") + "|" + spec.Zone + "|" + strconv.FormatBool(spec.Spot),
 	}
-	if len(spec.Types) > 0 {
-		job.GuardClass = spec.Types[0]
-	}
+	job.GuardClass = guardClass(spec)
 	for _, class := range spec.Types {
 		job.TypeSet[class] = true
 	}
 	return job
 }
 
+// guardClass returns the class of a job whose ownership guards the owner's writes about the job, or "" if the
+// job has none.
+func guardClass(spec *wire.Job) string {
+	if len(spec.Types) == 0 {
+		return ""
+	}
+	return spec.Types[0]
+}
+
 // applyJobRemoval applies the removal of a job's record.
 func (r *Registry) applyJobRemoval(id string) {
 	if job := r.OpenJobs[id]; job != nil {
@@ -210,12 +226,16 @@
 	job.DoneCount += len(job.Done.mergeChunk(index, chunkTasks, chunk.Done, job.Tasks))
 }
 
+// Advance sets the current time without triggering any work.
+func (r *Registry) Advance(now time.Duration) { r.now = max(r.now, now) }
+
 // Tick sends the queued user requests, and writes the progress and the completions of the jobs
 // that this node owns. mayWrite reports whether this node may write as owner. allTasksLocated
 // reports whether every task of a job that a machine may have is among the job's assignments.
 func (r *Registry) Tick(now time.Duration, unixTime float64, mayWrite bool, allTasksLocated func(*Job) bool) {
 	r.unixTime = unixTime
 	r.now = max(r.now, now)
+	r.updateConfirmations()
 	r.expireLookups()
 	r.sendSubmissions()
 	r.sendLookups()
@@ -274,10 +294,8 @@
 	}
 }
 
+// currentStatus returns the state of a job that has not ended.
 func (r *Registry) currentStatus(id string) wire.JobStatus {
-	if final, ok := r.finalStates[id]; ok {
-		return wire.JobStatus{ID: id, Status: final.Status, Done: final.Done}
-	}
 	status := wire.JobStatus{ID: id, Status: wire.StatusPending}
 	if job := r.OpenJobs[id]; job != nil {
 		if job.Active {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -71,6 +71,13 @@
 	// cancellations, whatever cancel_s is: two watches without events, each with the time that its
 	// request may take.
 	MinStaleness = 2*WatchHold + 2*StoreTimeout
+	// LaunchHold is the time within which a peer that requested a hold of a job's launches must have
+	// recorded the job's cancellation, so that it may confirm the cancellation on the strength of the
+	// hold. It is longer than CancelTimeout.
+	LaunchHold = 5 * time.Second
+	// AnnouncementWait is how long an owner that has read a cancellation waits for a peer to announce it.
+	// If none does, no peer can reach the owner, and it publishes in the state service what it has read.
+	AnnouncementWait = 100 * time.Millisecond
 	// CancelNoticeRetention is the least time for which a node passes on a cancellation that it
 	// confirmed to a user. After that time, the node still passes it on until the job's record is
 	// known to be removed. By then every owner has received the cancellation or has stopped
@@ -220,6 +227,12 @@
 	// SubmitTimeout is how long a submission may wait for the state service before
 	// the user is asked to try again.
 	SubmitTimeout = 2500 * time.Millisecond
+	// CancelTimeout is how long a cancellation that is recorded may wait until no owner can launch the
+	// job's tasks any more, counted from the request. An owner that no peer reaches is replaced sooner:
+	// its lease ends within NodeLease. CancelAnswerTimeout is how long the HTTP handler waits for the
+	// answer. Users wait 5 s.
+	CancelTimeout       = 4 * time.Second
+	CancelAnswerTimeout = 4500 * time.Millisecond
 	// MaxSubmitWriteWait is the longest wait for the write budget with which a submission
 	// is still accepted. If the wait would be longer, the reply says when to try again.
 	MaxSubmitWriteWait = time.Second
--- a/internal/ownership/extension.go
+++ b/internal/ownership/extension.go
@@ -11,7 +11,7 @@
 // reach the state service either and has no record of a later term of these classes. After a grant, the
 // node takes over no class for limits.GrantTTL. The node has no record of terms from before its process
 // began, so the peer also checks the node's Uptime.
-func (n *Node) GrantExtension(now time.Duration, terms map[string]uint64) bool {
+func (n *Node) GrantExtension(now time.Duration, peer string, terms map[string]uint64) bool {
 	if now > n.now {
 		n.now = now
 	}
@@ -34,10 +34,7 @@
 			return false
 		}
 	}
-	until := n.now + limits.GrantTTL
-	if until > n.grantedUntil {
-		n.grantedUntil = until
-	}
+	n.recordGrant(peer)
 	return true
 }
 
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -22,8 +22,8 @@
 	"umberpaddle/internal/wire"
 )
 
-// Keys under the mirror's root. The leader and the record format have one key each. Node keys end in
-// a node's name, the other keys in a class.
+// Keys under the mirror's root. The leader and the record format have one key each. Node keys and read
+// keys end in a node's name, the other keys in a class.
 const (
 	keyLeader    = statestore.Root + "leader"
 	keyNode      = statestore.Root + "n/"
@@ -31,6 +31,7 @@
 	keyOwner     = statestore.Root + "own/"
 	keyLastOwner = statestore.Root + "last/"
 	keyFormat    = statestore.Root + "format"
+	keyRead      = statestore.Root + "k/"
 )
 
 // nodeRecord is the value of all ownership keys. Each key uses only some of the fields.
@@ -43,6 +44,8 @@
 	// Format is, under a node key, the newest record format that the node's version reads. Under
 	// keyFormat it is a format that all nodes could read when it was recorded.
 	Format int `msgpack:"f,omitempty"`
+	// ReadThrough is, under a read key, the revision up to which the node's mirror contains all changes.
+	ReadThrough uint64 `msgpack:"r,omitempty"`
 }
 
 // versionedRecord is a nodeRecord with the version of its key at the state service.
@@ -82,8 +85,10 @@
 	mapping      map[string]versionedRecord // class -> node that should own it
 	owners       map[string]versionedRecord // class -> node whose claim is recorded
 	lastOwners   map[string]string          // class -> node
-	latestTerms  map[string]uint64          // class -> revision up to which every term is over, except the current owner's
-	endingLeases map[uint64]bool            // leases of earlier incarnations of this node that are being ended
+	// publishedReads holds the records of the nodes that published how far they have read, by node.
+	publishedReads map[string]versionedRecord
+	latestTerms    map[string]uint64 // class -> revision up to which every term is over, except the current owner's
+	endingLeases   map[uint64]bool   // leases of earlier incarnations of this node that are being ended
 
 	claims      map[string]*Claim
 	handingOver map[string]uint64 // class -> term that is being handed over
@@ -95,6 +100,7 @@
 	electionJitter     time.Duration
 
 	grantedUntil         time.Duration            // this node claims nothing before this time
+	grants               map[string]time.Duration // peer -> end of the extension that this node granted to it
 	extensions           map[string]time.Duration // peer -> end of the extension that it granted
 	noTakeoverUntil      map[string]time.Duration // peer -> time until which the peer, by its extensions, cannot have taken over
 	nextExtensionRequest time.Duration
@@ -114,8 +120,8 @@
 // the node; staleness is the result of MaxStaleness for the workers' settings.
 func New(name string, peers []string, incarnation uint64, start, staleness time.Duration, store *statestore.Store, log func(slog.Level, string, ...any)) *Node {
 	return &Node{Name: name, Incarnation: incarnation, SupportedFormat: limits.RecordFormat, store: store, peers: peers, log: log, now: start, start: start,
-		nodes: map[string]versionedRecord{}, mapping: map[string]versionedRecord{}, owners: map[string]versionedRecord{}, lastOwners: map[string]string{}, latestTerms: map[string]uint64{},
-		endingLeases: map[uint64]bool{}, claims: map[string]*Claim{}, handingOver: map[string]uint64{}, retryAt: map[string]time.Duration{}, extensions: map[string]time.Duration{}, noTakeoverUntil: map[string]time.Duration{},
+		nodes: map[string]versionedRecord{}, mapping: map[string]versionedRecord{}, owners: map[string]versionedRecord{}, lastOwners: map[string]string{}, publishedReads: map[string]versionedRecord{}, latestTerms: map[string]uint64{},
+		endingLeases: map[uint64]bool{}, claims: map[string]*Claim{}, handingOver: map[string]uint64{}, retryAt: map[string]time.Duration{}, extensions: map[string]time.Duration{}, grants: map[string]time.Duration{}, noTakeoverUntil: map[string]time.Duration{},
 		peerReportedThrough: map[string]time.Duration{}, MaxStaleness: staleness,
 		electionJitter: time.Duration(incarnation % uint64(limits.ElectionJitter))}
 }
@@ -163,6 +169,8 @@
 		update(n.owners, keyOwner)
 		class := nameFromKey(change.Key, keyOwner)
 		n.latestTerms[class] = max(n.latestTerms[class], rec.version)
+	case strings.HasPrefix(change.Key, keyRead):
+		update(n.publishedReads, keyRead)
 	case strings.HasPrefix(change.Key, keyLastOwner):
 		if !change.Removed {
 			n.lastOwners[nameFromKey(change.Key, keyLastOwner)] = rec.Node
@@ -254,6 +262,16 @@
 	return owners
 }
 
+// OwnsClasses reports whether a node owns any class.
+func (n *Node) OwnsClasses(node string) bool {
+	for _, rec := range n.owners {
+		if rec.Node == node {
+			return true
+		}
+	}
+	return false
+}
+
 // OwnerGuard returns the condition that every write by the owner of class carries. Its version is 0 if
 // this process does not own the class.
 func (n *Node) OwnerGuard(class string) wire.Guard {
